--- /dev/null
+++ b/ibisplank/cli/gateway.py
@@ -0,0 +1,42 @@
+"""Program `ibisplank-gateway`."""
+
+from pathlib import Path
+
+import click
+
+from ibisplank.cli._shared import Program, log_option, report_errors, version_option
+from ibisplank.gateway import Gateway
+from ibisplank.platform import DIALECT, HttpRows, decode_row, read_settings
+from ibisplank.process import LogFormat, run_loop, set_logs
+
+EXAMPLE = """
+\b
+Example:
+  ibisplank-gateway --settings /etc/ibisplank/settings.toml
+"""
+
+
+async def _run(gateway: Gateway) -> None:
+    await gateway.run()
+
+
+@click.command(cls=Program, epilog=EXAMPLE)
+@click.option(
+    '--settings',
+    type=click.Path(dir_okay=False, path_type=Path),
+    envvar='IBISPLANK_SETTINGS',
+    help="The platform's settings file; its own variable names it too.",
+)
+@log_option
+@version_option
+@report_errors
+def main(settings: Path | None, log_format: str) -> None:
+    """Answer callers from backend servers, as the platform's store says."""
+    chosen = read_settings(settings)
+    set_logs(LogFormat(log_format), 'gateway')
+    store = HttpRows(chosen.store)
+    run_loop(_run, Gateway(chosen, store, decode_row, DIALECT))
+
+
+if __name__ == '__main__':
+    main()
--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -1,5 +1,6 @@
 """HTTP connections to backend servers, with the age that decides their use."""
 
+import re
 from collections.abc import Callable, Sequence
 
 import anyio
@@ -7,6 +8,7 @@
 import msgspec
 
 from ibisplank.errors import (
+    AlienAnswer,
     AttemptUnknown,
     ConnectFailed,
     ConnectTimeout,
@@ -19,12 +21,17 @@
 PROVEN_S = 0.5
 #: An idle connection older than this is closed rather than used.
 IDLE_LIMIT_S = 4.0
+#: No idle connection is kept longer, whatever the server states.
+MAX_IDLE_S = 30.0
+#: A connection is left this long before its server would close it.
+KEEP_MARGIN_S = 1.0
 #: A server closes idle connections no sooner; earlier means a restart.
 SIGN_S = 2.0
 CONNECT_TIMEOUT_S = 0.25
 NO_BODY_STATUSES = frozenset((204, 304))
 
 Headers = Sequence[tuple[bytes, bytes]]
+_KEEP_ALIVE = re.compile(rb'timeout=(\d{1,9})')
 
 
 class Exchange(msgspec.Struct, frozen=True):
@@ -39,6 +46,13 @@
         carry the request.
     cold : bool
         Whether the request may go to a server that has just restarted.
+    fresh : bool
+        Whether only a new connection may carry the request.
+    unsized : bool
+        Whether an answer may end with its connection.
+    echo : tuple of bytes or None
+        Name and content of a header that tells the answer to this request
+        from a late one to another.
     """
 
     method: bytes
@@ -48,6 +62,9 @@
     first_byte_s: float
     proven: bool
     cold: bool = True
+    fresh: bool = False
+    unsized: bool = False
+    echo: tuple[bytes, bytes] | None = None
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -68,6 +85,7 @@
         now: float,
     ) -> None:
         self.answered_at = now
+        self.keep_s = IDLE_LIMIT_S
         self._raw = raw
         self._origin = origin
 
@@ -112,7 +130,9 @@
             raise SilentConnection('no first byte in time') from error
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             raise AttemptUnknown(str(error)) from error
-        return await _read_answer(exchange.method, response)
+        answer = await _read_answer(exchange, response)
+        self.keep_s = _find_keep_s(answer.headers)
+        return answer
 
     async def aclose(self) -> None:
         """Close the connection."""
@@ -120,9 +140,26 @@
             await self._raw.aclose()
 
 
-async def _read_answer(method: bytes, response: httpcore.Response) -> Answer:
+def _find_keep_s(headers: Headers) -> float:
+    """Return how long the server keeps an idle connection, less a margin.
+
+    >>> _find_keep_s([(b'Keep-Alive', b'timeout=9')])
+    8.0
+    """
+    for name, text in headers:
+        stated = _KEEP_ALIVE.search(text.lower())
+        if name.lower() == b'keep-alive' and stated:
+            stated_s = int(stated.group(1)) - KEEP_MARGIN_S
+            return min(MAX_IDLE_S, max(0, stated_s))
+    return IDLE_LIMIT_S
+
+
+async def _read_answer(
+    exchange: Exchange,
+    response: httpcore.Response,
+) -> Answer:
     names = {name.lower() for name, _ in response.headers}
-    bare = method == b'HEAD' or response.status in NO_BODY_STATUSES
+    bare = exchange.method == b'HEAD' or response.status in NO_BODY_STATUSES
     try:
         body = await response.aread()
     except (httpcore.NetworkError, httpcore.ProtocolError) as error:
@@ -131,12 +168,30 @@
         raise TornAnswer('no further byte in time') from error
     finally:
         await response.aclose()
+    _check_echo(exchange.echo, response)
     sized = names & {b'content-length', b'transfer-encoding'}
-    if not sized and not bare:
+    if not sized and not bare and not exchange.unsized:
         raise TornAnswer('neither content-length nor chunked')
     return Answer(response.status, response.headers, body)
 
 
+def _check_echo(
+    echo: tuple[bytes, bytes] | None,
+    response: httpcore.Response,
+) -> None:
+    """Tell a late answer to an earlier request from the one awaited."""
+    if echo is None:
+        return
+    name, content = echo
+    for each, text in response.headers:
+        if each.lower() == name:
+            if text != content:
+                raise AlienAnswer('the answer names another request')
+            return
+    if 200 <= response.status < 300:
+        raise AlienAnswer('the answer names no request')
+
+
 class Route:
     """Idle connections to one backend server.
 
@@ -210,12 +265,15 @@
             self._idle.append(connection)
 
     async def _take(self, exchange: Exchange) -> Connection:
+        if exchange.fresh:
+            return await self._open()
         now = self._clock()
-        limit = PROVEN_S if exchange.proven else IDLE_LIMIT_S
+        limit = PROVEN_S if exchange.proven else MAX_IDLE_S
         closed = False
         while self._idle:
             connection = self._idle.pop()
-            young = connection.answered_at >= now - limit
+            longest_s = min(limit, connection.keep_s)
+            young = connection.answered_at >= now - longest_s
             if young and connection.usable:
                 return connection
             if connection.answered_at >= now - SIGN_S:
--- a/ibisplank/errors.py
+++ b/ibisplank/errors.py
@@ -13,6 +13,20 @@
     """A flag, environment variable or contract is not usable."""
 
 
+class UndecodableRow(IbisplankError):
+    """A row of the platform's store holds what it can't.
+
+    Attributes
+    ----------
+    field : str
+        Name of the row or field.
+    """
+
+    def __init__(self, field: str, reason: str) -> None:
+        self.field = field
+        super().__init__(f'{field}: {reason}; correct that field')
+
+
 class StoreError(IbisplankError):
     """Base of errors of the platform's table and object store."""
 
@@ -52,6 +66,13 @@
         )
 
 
+class HistoryGone(StoreError):
+    """The store no longer has the changes after the version named."""
+
+    def __init__(self, table: str) -> None:
+        super().__init__(f'history of {table!r} is gone: list it anew')
+
+
 class EditConflict(IbisplankError):
     """An operator's edit lost against another operator's."""
 
@@ -106,5 +127,9 @@
     """The answer ended before its stated length."""
 
 
+class AlienAnswer(AttemptUnknown):
+    """The answer belongs to another request."""
+
+
 class SilentConnection(AttemptUnknown):
     """No byte of an answer arrived within the first-byte timeout."""
--- /dev/null
+++ b/ibisplank/gateway/_budget.py
@@ -0,0 +1,75 @@
+"""This VM's share of the retries that a service may get in a window."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class RetryTerms:
+    """Bound on the retries of one service, over all gateways.
+
+    Attributes
+    ----------
+    ratio : float
+        Retries that each call in the window allows.
+    slack : float
+        Retries that a window allows beyond these.
+    window_s : float
+        Length of the sliding window.
+    """
+
+    ratio: float = 0.2
+    slack: float = 0.0
+    window_s: float = 10.0
+
+
+#: Part of the bound that is used; the rest is for late arrivals.
+SAFE_SHARE = 0.85
+
+
+@dataclass(slots=True)
+class RetryShare:
+    """Retries of one service that this gateway may still send.
+
+    Load pattern: servers fail or slow down together, and every gateway
+    wants to retry at once. The ratio is earned by calls that arrived here,
+    and the slack is split evenly, so the shares sum to less than the bound
+    whatever the interleaving.
+
+    Examples
+    --------
+    >>> share = RetryShare(RetryTerms(ratio=0.5, slack=0.0, window_s=1.0))
+    >>> for _ in range(3): share.note_call(0.0)
+    >>> share.spend(0.1, members=4), share.spend(0.1, members=4)
+    (True, False)
+    """
+
+    terms: RetryTerms
+    _calls: deque[float] = field(default_factory=deque)
+    _spent: deque[float] = field(default_factory=deque)
+
+    def note_call(self, now: float) -> None:
+        """Count a call that arrived here."""
+        self._calls.append(now)
+        self._forget(now)
+
+    def count_left(self, now: float, members: int) -> float:
+        """Return how many retries may still be sent in this window."""
+        self._forget(now)
+        earned = self.terms.ratio * len(self._calls)
+        slack = self.terms.slack / max(1, members)
+        return SAFE_SHARE * (earned + slack) - len(self._spent)
+
+    def spend(self, now: float, members: int, reserve: float = 0.0) -> bool:
+        """Take one retry, if there is one beyond a reserve."""
+        if self.count_left(now, members) < 1 + reserve:
+            return False
+        self._spent.append(now)
+        return True
+
+    def _forget(self, now: float) -> None:
+        oldest = now - self.terms.window_s
+        while self._calls and self._calls[0] < oldest:
+            self._calls.popleft()
+        while self._spent and self._spent[0] < oldest:
+            self._spent.popleft()
--- /dev/null
+++ b/ibisplank/gateway/_directory.py
@@ -0,0 +1,120 @@
+"""Backend servers that the platform's store names, and who may get calls."""
+
+from dataclasses import dataclass
+
+from ibisplank.gateway._model import ServerEntry
+from ibisplank.ids import ServerId, ServiceId, ZoneId
+
+#: Time by which a word of a server's warm-up may be late.
+WARMUP_MARGIN_S = 0.5
+
+
+@dataclass(slots=True)
+class Standing:
+    """One backend server's entry, and what follows from it.
+
+    Attributes
+    ----------
+    cold_until : float
+        Time until which it bears only a few calls a second.
+    lapses_at : float or None
+        Time at which it is dropped unless its entry comes back.
+    """
+
+    entry: ServerEntry
+    cold_until: float = 0.0
+    lapses_at: float | None = None
+
+
+class Directory:
+    """Backend servers by service.
+
+    Attributes
+    ----------
+    zones_out : set of ZoneId
+        Availability zones whose servers get no new calls.
+    """
+
+    def __init__(self) -> None:
+        self.zones_out: set[ZoneId] = set()
+        self._standings: dict[ServerId, Standing] = {}
+
+    def learn(self, entry: ServerEntry, now: float) -> bool:
+        """Take in an entry; return whether the server has started anew."""
+        known = self._standings.get(entry.server)
+        started = known is None or known.entry.born_ms != entry.born_ms
+        if known is None or started:
+            known = Standing(entry)
+            self._standings[entry.server] = known
+        known.entry = entry
+        known.lapses_at = None
+        if entry.warmup_left_s > 0:
+            until = now + entry.warmup_left_s + WARMUP_MARGIN_S
+            known.cold_until = max(known.cold_until, until)
+        return started
+
+    def drop(self, server: ServerId, now: float, grace_s: float) -> None:
+        """Take in that a server has no entry any more.
+
+        Parameters
+        ----------
+        grace_s : float
+            Time for which the entry may be missing by an outage only.
+        """
+        standing = self._standings.get(server)
+        if standing is None:
+            return
+        if grace_s > 0 and not standing.entry.leaving:
+            standing.lapses_at = now + grace_s
+            return
+        self._standings.pop(server)
+
+    def move_zone(self, zone: ZoneId, now: float, cold_s: float, out: bool) -> None:
+        """Take a zone out of service, or bring it back with cold servers."""
+        if out:
+            self.zones_out.add(zone)
+            return
+        if zone not in self.zones_out:
+            return
+        self.zones_out.discard(zone)
+        for standing in self._standings.values():
+            if standing.entry.zone == zone:
+                self._chill(standing, now + cold_s)
+
+    def chill(self, server: ServerId, until: float) -> None:
+        """Treat a server as cold until a time."""
+        standing = self._standings.get(server)
+        if standing is not None:
+            self._chill(standing, until)
+
+    def warm(self, server: ServerId) -> None:
+        """Treat a server as warm, by its own word."""
+        standing = self._standings.get(server)
+        if standing is not None:
+            standing.cold_until = 0.0
+
+    def find(self, server: ServerId) -> Standing | None:
+        """Return a server's standing."""
+        return self._standings.get(server)
+
+    def list_usable(self, service: ServiceId, now: float) -> list[Standing]:
+        """Return the servers of a service that may get calls now."""
+        return [
+            standing
+            for standing in self._standings.values()
+            if standing.entry.service == service and self._may_use(standing, now)
+        ]
+
+    def list_all(self) -> list[Standing]:
+        """Return all servers on record."""
+        return list(self._standings.values())
+
+    def _may_use(self, standing: Standing, now: float) -> bool:
+        if standing.entry.leaving:
+            return False
+        if standing.lapses_at is not None and standing.lapses_at <= now:
+            return False
+        return standing.entry.zone not in self.zones_out
+
+    def _chill(self, standing: Standing, until: float) -> None:
+        standing.cold_until = max(standing.cold_until, until)
--- /dev/null
+++ b/ibisplank/gateway/_fleet.py
@@ -0,0 +1,105 @@
+"""Connections to and records of all backend servers, for a process's life."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ibisplank.connection import Route
+from ibisplank.gateway._knowledge import Knowledge
+from ibisplank.gateway._pacing import ColdPace, choose_pacer
+from ibisplank.gateway._placing import Candidate
+from ibisplank.gateway._record import ServerRecord
+from ibisplank.ids import MemberId, ServerId, ServiceId
+
+#: Calls a second that a cold server bears where no service says more.
+DEFAULT_WARMUP_RATE = 1.0
+Key = tuple[ServerId, int]
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Backend servers as this gateway uses them.
+
+    Attributes
+    ----------
+    member : MemberId
+        This process.
+    """
+
+    member: MemberId
+    knowledge: Knowledge
+    clock: Callable[[], float]
+    pace: ColdPace = field(default_factory=ColdPace)
+    _records: dict[Key, ServerRecord] = field(default_factory=dict)
+    _routes: dict[Key, Route] = field(default_factory=dict)
+
+    def list_candidates(
+        self,
+        service: ServiceId,
+        tried: set[ServerId],
+        now: float,
+    ) -> list[Candidate]:
+        """Return the servers that may get a call of a service now."""
+        candidates = []
+        for standing in self.knowledge.directory.list_usable(service, now):
+            server = standing.entry.server
+            if server in tried:
+                continue
+            record = self.find_record(server, standing.entry.born_ms)
+            if record.rest_until > now:
+                continue
+            cold = standing.cold_until > now
+            if cold and not self._may_pace(server, now):
+                continue
+            candidates.append(Candidate(standing, record, cold))
+        return candidates
+
+    def find_record(self, server: ServerId, born_ms: int) -> ServerRecord:
+        """Return the record of one start of a server."""
+        key = (server, born_ms)
+        record = self._records.get(key)
+        if record is None:
+            record = ServerRecord(server)
+            self._records[key] = record
+        return record
+
+    def find_route(self, candidate: Candidate) -> Route:
+        """Return the connections to one start of a server."""
+        entry = candidate.standing.entry
+        key = (entry.server, entry.born_ms)
+        route = self._routes.get(key)
+        if route is None or route.address != entry.address:
+            route = Route(entry.address, self.clock)
+            self._routes[key] = route
+        return route
+
+    def note_sent(self, candidate: Candidate, now: float) -> None:
+        """Take in that a call goes to a server."""
+        if not candidate.cold:
+            return
+        service = candidate.standing.entry.service
+        rules = self.knowledge.config.services.get(service)
+        rate = rules.warmup_rate if rules else DEFAULT_WARMUP_RATE
+        self.pace.note_sent(candidate.server, now, rate)
+
+    async def forget_gone(self) -> None:
+        """Drop records and connections of servers that have left."""
+        known = {
+            (standing.entry.server, standing.entry.born_ms)
+            for standing in self.knowledge.directory.list_all()
+        }
+        for key in [key for key in self._routes if key not in known]:
+            await self._routes.pop(key).close_idle()
+        for key in [key for key in self._records if key not in known]:
+            self._records.pop(key)
+
+    def count_members(self) -> int:
+        """Return how many gateways share what is bounded over all."""
+        return max(1, len(self.knowledge.members))
+
+    def _may_pace(self, server: ServerId, now: float) -> bool:
+        members = [
+            record.member for record in self.knowledge.members.values()
+        ]
+        if choose_pacer(server, members) != self.member:
+            return False
+        return self.pace.may_send(server, now)
--- /dev/null
+++ b/ibisplank/gateway/_forwarder.py
@@ -0,0 +1,277 @@
+"""Attempts of one call on backend servers, until its final answer."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from ibisplank.connection import Answer, Exchange
+from ibisplank.errors import AttemptUnknown, ConnectFailed
+from ibisplank.gateway._budget import RetryShare, RetryTerms
+from ibisplank.gateway._dialect import Dialect, Headers, find_header
+from ibisplank.gateway._fleet import Fleet
+from ibisplank.gateway._job import MS_PER_S, Job
+from ibisplank.gateway._model import RouteName, RouteTerms
+from ibisplank.gateway._placing import Candidate, Placer
+from ibisplank.gateway._plan import (
+    Action,
+    Attempt,
+    Await,
+    CallPlan,
+    Conclude,
+    Outcome,
+    find_hedge_s,
+)
+from ibisplank.gateway._record import parse_load
+from ibisplank.gateway._routing import Splitter
+from ibisplank.gateway._verdict import Verdict, judge_answer
+from ibisplank.ids import ServerId, ServiceId
+from ibisplank.process import Average
+
+#: Part of a route's target that its calls are taken to last at first.
+FIRST_USUAL_SHARE = 0.4
+#: A latency so many deviations above the mean counts as slow.
+SLOW_DEVIATIONS = 4.0
+#: A server's time limit is told this much shorter than the caller's.
+DEADLINE_MARGIN_S = 0.005
+
+
+@dataclass(slots=True)
+class Race:
+    """One call's attempts while they run."""
+
+    job: Job
+    service: ServiceId
+    plan: CallPlan
+    group: TaskGroup
+    tried: set[ServerId] = field(default_factory=set)
+    trail: list[str] = field(default_factory=list)
+    woken: anyio.Event = field(default_factory=anyio.Event)
+
+    def wake(self) -> None:
+        """Let the call's next step be decided."""
+        self.woken.set()
+
+
+class Forwarder:
+    """Sends calls to backend servers.
+
+    Parameters
+    ----------
+    clock : callable
+        Boot-time clock in seconds.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        placer: Placer,
+        dialect: Dialect,
+        retry: RetryTerms,
+        clock: Callable[[], float],
+    ) -> None:
+        self._fleet = fleet
+        self._placer = placer
+        self._dialect = dialect
+        self._retry = retry
+        self._clock = clock
+        self._splitter = Splitter()
+        self._luck: random.Random = placer.luck
+        self._shares: dict[ServiceId, RetryShare] = {}
+        self._usual: dict[RouteName, Average] = {}
+        self._waiting: set[Race] = set()
+
+    async def run(self, job: Job) -> Conclude:
+        """Return how a call ends."""
+        service = self._splitter.choose(job.route, self._luck.random())
+        self._find_share(service).note_call(self._clock())
+        async with anyio.create_task_group() as group:
+            race = Race(job, service, self._make_plan(job), group)
+            ending = await self._finish(race)
+            group.cancel_scope.cancel()
+        self._log(race, ending)
+        return ending
+
+    async def _finish(self, race: Race) -> Conclude:
+        while True:
+            race.woken = anyio.Event()
+            action = race.plan.decide(self._clock())
+            if isinstance(action, Attempt):
+                action = self._start(race, action)
+            match action:
+                case Conclude():
+                    return action
+                case Await(until):
+                    await self._await(race, until)
+
+    async def _await(self, race: Race, until: float) -> None:
+        with anyio.move_on_after(until - self._clock()):
+            await race.woken.wait()
+
+    def _start(self, race: Race, action: Attempt) -> Action:
+        """Start an attempt, or return what happens in its place."""
+        now = self._clock()
+        candidates = self._fleet.list_candidates(race.service, race.tried, now)
+        once = not race.job.route.idempotent
+        chosen = self._placer.choose(candidates, now, once=once)
+        if chosen is None:
+            return race.plan.deny(now, room=False)
+        if action.again and not self._pay(race.service, action, now):
+            return race.plan.deny(now, room=True)
+        race.tried.add(chosen.server)
+        race.plan.note_start(now)
+        self._fleet.note_sent(chosen, now)
+        race.group.start_soon(self._attempt, race, chosen, now)
+        return Await(now)
+
+    def _pay(self, service: ServiceId, action: Attempt, now: float) -> bool:
+        share = self._find_share(service)
+        return share.spend(now, self._fleet.count_members(), action.reserve)
+
+    async def _attempt(self, race: Race, chosen: Candidate, now: float) -> None:
+        record = chosen.record
+        record.in_flight += 1
+        try:
+            await self._exchange(race, chosen, now)
+        finally:
+            record.in_flight -= 1
+            self._note_unfinished(race, chosen, now)
+            race.wake()
+
+    def _note_unfinished(self, race: Race, chosen: Candidate, now: float) -> None:
+        """Learn from how long an attempt has run, however it ended."""
+        waited_s = self._clock() - now
+        chosen.record.note_slow(waited_s / race.plan.usual_s, self._clock())
+
+    async def _exchange(self, race: Race, chosen: Candidate, now: float) -> None:
+        left_s = race.job.final_at - now
+        route = self._fleet.find_route(chosen)
+        try:
+            answer = await route.exchange(self._make_exchange(race, chosen, left_s))
+        except ConnectFailed as error:
+            chosen.record.note_unreachable(self._clock())
+            self._end(race, chosen, Outcome.UNSENT, str(error))
+        except AttemptUnknown as error:
+            chosen.record.note_fault(self._clock())
+            self._end(race, chosen, Outcome.UNKNOWN, repr(error))
+        else:
+            self._take_answer(race, chosen, answer, now)
+
+    def _take_answer(
+        self,
+        race: Race,
+        chosen: Candidate,
+        answer: Answer,
+        sent_at: float,
+    ) -> None:
+        now = self._clock()
+        record = chosen.record
+        load = find_header(list(answer.headers), self._dialect.server_load)
+        record.note_report(parse_load(load), now)
+        verdict = judge_answer(answer, self._dialect)
+        match verdict:
+            case Verdict.GOOD:
+                latency_s = now - sent_at
+                record.note_good(latency_s / race.plan.usual_s, now)
+                self._find_usual(race.job.route).add(latency_s)
+                race.trail.append(f'{chosen.server}:{answer.status}')
+                race.plan.note_answer(answer, good=True)
+            case Verdict.FAILURE:
+                record.note_fault(now)
+                race.trail.append(f'{chosen.server}:{answer.status}')
+                race.plan.note_answer(answer, good=False)
+            case Verdict.REFUSED:
+                record.note_fault(now)
+                self._end(race, chosen, Outcome.REFUSED, str(answer.status))
+            case Verdict.ELSEWHERE:
+                record.note_unreachable(now)
+                self._end(race, chosen, Outcome.REFUSED, 'another server')
+            case Verdict.UNUSABLE:
+                record.note_fault(now)
+                self._end(race, chosen, Outcome.UNKNOWN, f'bad {answer.status}')
+
+    def _end(
+        self,
+        race: Race,
+        chosen: Candidate,
+        outcome: Outcome,
+        reason: str,
+    ) -> None:
+        race.trail.append(f'{chosen.server}:{outcome.value} ({reason})')
+        race.plan.note_outcome(outcome)
+
+    def _make_exchange(
+        self,
+        race: Race,
+        chosen: Candidate,
+        left_s: float,
+    ) -> Exchange:
+        job = race.job
+        left_ms = max(1, int((left_s - DEADLINE_MARGIN_S) * MS_PER_S))
+        headers: Headers = [
+            *job.head.forwarded,
+            (self._dialect.deadline_ms, str(left_ms).encode()),
+            (self._dialect.target_server, chosen.server.encode()),
+        ]
+        if job.body or job.head.method not in {b'GET', b'HEAD'}:
+            length = str(len(job.body)).encode()
+            headers.append((b'content-length', length))
+        return Exchange(
+            job.head.method,
+            job.head.target,
+            headers,
+            job.body,
+            first_byte_s=left_s,
+            proven=False,
+            fresh=not job.route.idempotent,
+            unsized=True,
+            echo=(self._dialect.request_id, job.head.request_id),
+        )
+
+    def _make_plan(self, job: Job) -> CallPlan:
+        route = job.route
+        usual = self._find_usual(route)
+        return CallPlan(
+            route,
+            job.arrived_at,
+            job.final_at,
+            usual.mean_s,
+            find_hedge_s(route.target_s, usual.bound_s(SLOW_DEVIATIONS)),
+        )
+
+    def _find_usual(self, route: RouteTerms) -> Average:
+        usual = self._usual.get(route.name)
+        if usual is None:
+            usual = Average()
+            usual.add(FIRST_USUAL_SHARE * route.target_s)
+            self._usual[route.name] = usual
+        return usual
+
+    def _find_share(self, service: ServiceId) -> RetryShare:
+        share = self._shares.get(service)
+        if share is None:
+            share = RetryShare(self._retry)
+            self._shares[service] = share
+        return share
+
+    def _log(self, race: Race, ending: Conclude) -> None:
+        job = race.job
+        now = self._clock()
+        status = ending.answer.status if ending.answer else ending.ending.value
+        logger.info(
+            'call {} route={} service={} config={} age={:.2f} '
+            'took={:.3f} of {:.3f} usual={:.3f} trail={} ends={}',
+            job.head.request_id.decode('latin-1'),
+            job.route.name,
+            race.service,
+            self._fleet.knowledge.config.version,
+            self._fleet.knowledge.find_age(now),
+            now - job.arrived_at,
+            job.final_at - job.arrived_at,
+            race.plan.usual_s,
+            race.trail,
+            status,
+        )
--- /dev/null
+++ b/ibisplank/gateway/_job.py
@@ -0,0 +1,142 @@
+"""One caller's call, told from its HTTP head and the routes."""
+
+from dataclasses import dataclass
+
+from ibisplank.connection import Scope
+from ibisplank.gateway._dialect import Dialect, Headers
+from ibisplank.gateway._model import CallerLimits, RouteTerms
+from ibisplank.gateway._routing import RouteTable
+
+MS_PER_S = 1000.0
+#: Headers that concern one connection only.
+HOP_HEADERS = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'expect',
+        b'content-length',
+    ),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """What the head of a call states.
+
+    Attributes
+    ----------
+    deadline_s : float or None
+        Seconds that the caller will wait.
+    forwarded : list
+        Headers that go to the server.
+    size : int
+        Bytes of all headers.
+    """
+
+    method: bytes
+    target: bytes
+    host: str
+    path: str
+    request_id: bytes
+    deadline_s: float | None
+    forwarded: Headers
+    size: int
+
+
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """Final answer to a call that no route or limit allows."""
+
+    status: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """A call that a route allows, with its whole body."""
+
+    head: Head
+    route: RouteTerms
+    body: bytes
+    arrived_at: float
+    final_at: float
+
+
+def parse_head(scope: Scope, dialect: Dialect) -> Head:
+    """Return what the head of a call states."""
+    request_id = b''
+    deadline_s = None
+    host = b''
+    size = 0
+    forwarded: Headers = []
+    dropped = _list_dropped(scope['headers'], dialect)
+    for name, text in scope['headers']:
+        size += len(name) + len(text) + 4
+        if name == dialect.request_id:
+            request_id = text
+        if name == dialect.deadline_ms:
+            deadline_s = _parse_ms(text)
+        if name == b'host':
+            host = text
+        if name not in dropped:
+            forwarded.append((name, text))
+    raw = scope['raw_path']
+    query = scope['query_string']
+    return Head(
+        method=scope['method'].encode('latin-1'),
+        target=raw + b'?' + query if query else raw,
+        host=host.decode('latin-1').lower().partition(':')[0],
+        path=raw.decode('latin-1'),
+        request_id=request_id,
+        deadline_s=deadline_s,
+        forwarded=forwarded,
+        size=size + len(raw) + len(query),
+    )
+
+
+def find_route(
+    head: Head,
+    routes: RouteTable,
+    limits: CallerLimits,
+) -> RouteTerms | Rejection:
+    """Return the route of a call, or why there is none."""
+    if head.size > limits.header_bytes:
+        return Rejection(431, 'headers too large')
+    if not head.request_id:
+        return Rejection(400, 'no request id')
+    route = routes.find(head.host, head.path)
+    if route is None:
+        return Rejection(404, 'no route')
+    return route
+
+
+def find_final_at(head: Head, route: RouteTerms, arrived_at: float) -> float:
+    """Return the time by which the caller gets its answer."""
+    allowed_s = route.timeout_s
+    if head.deadline_s is not None:
+        allowed_s = min(allowed_s, head.deadline_s)
+    return arrived_at + allowed_s
+
+
+def _list_dropped(headers: Headers, dialect: Dialect) -> frozenset[bytes]:
+    dropped = HOP_HEADERS | {dialect.deadline_ms, dialect.target_server}
+    for name, text in headers:
+        if name == b'connection':
+            named = (part.strip().lower() for part in text.split(b','))
+            dropped |= frozenset(named) - {b'host', dialect.request_id}
+    return dropped
+
+
+def _parse_ms(text: bytes) -> float | None:
+    try:
+        wait_ms = float(text)
+    except ValueError:
+        return None
+    return wait_ms / MS_PER_S if 0 <= wait_ms < float('inf') else None
--- /dev/null
+++ b/ibisplank/gateway/_pacing.py
@@ -0,0 +1,57 @@
+"""Calls that a cold backend server gets, over all gateways."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from ibisplank.ids import MemberId, ServerId
+
+#: Rate at which the pacing gateway sends, of that which the server bears.
+PACE_SHARE = 0.9
+
+
+def choose_pacer(
+    server: ServerId,
+    members: Iterable[MemberId],
+) -> MemberId | None:
+    """Return the one gateway that sends to a server while it is cold.
+
+    All gateways choose alike from the same members; while they disagree,
+    two pace it at once, which the bound's slack covers.
+
+    >>> choose_pacer(ServerId('s'), [MemberId('m')])
+    'm'
+    """
+    best: MemberId | None = None
+    top = -1
+    for member in members:
+        score = xxhash.xxh3_64_intdigest(f'{server}/{member}'.encode())
+        if score > top:
+            best = member
+            top = score
+    return best
+
+
+class ColdPace:
+    """Even spacing of calls to cold servers; a new pacer saves up none.
+
+    Load pattern: an empty server looks like the best choice to everybody at
+    once, and falls over.
+    """
+
+    def __init__(self) -> None:
+        self._next_at: dict[ServerId, float] = {}
+
+    def may_send(self, server: ServerId, now: float) -> bool:
+        """Tell whether a cold server may get a call now."""
+        return now >= self._next_at.get(server, 0.0)
+
+    def note_sent(self, server: ServerId, now: float, rate: float) -> None:
+        """Take in that a call was sent to a cold server.
+
+        Parameters
+        ----------
+        rate : float
+            Calls a second that the server bears.
+        """
+        self._next_at[server] = now + 1 / max(rate * PACE_SHARE, 0.01)
--- /dev/null
+++ b/ibisplank/gateway/_plan.py
@@ -0,0 +1,235 @@
+"""What happens next with one call: another attempt, a wait, or its answer."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from ibisplank.connection import Answer
+from ibisplank.gateway._model import RouteTerms
+
+#: Part of its target for which a call waits until a server has room.
+WAIT_SHARE = 0.125
+#: A slow idempotent call gets a second attempt between these parts of its
+#: target, so that the second can still meet it.
+HEDGE_EARLIEST_SHARE = 0.4
+HEDGE_LATEST_SHARE = 0.55
+#: Sends beyond the attempts that ran, to servers that refused.
+EXTRA_SENDS = 3
+#: No attempt starts with less of the usual latency left than this.
+LEAST_LATENCY_SHARE = 0.5
+#: Retries kept back for failed attempts while slow ones are hedged.
+HEDGE_RESERVE = 1.0
+#: Refused callers return after this part of their target at the earliest.
+RETURN_SHARE = 0.25
+
+
+class Outcome(Enum):
+    """How an attempt ended without an answer for the caller.
+
+    Attributes
+    ----------
+    UNSENT
+        No byte of the call reached a server.
+    REFUSED
+        The server states that the call did not run.
+    UNKNOWN
+        The call may have run.
+    """
+
+    UNSENT = 'not sent'
+    REFUSED = 'refused by the server'
+    UNKNOWN = 'may have run'
+
+
+class Ending(Enum):
+    """Final answers that are the gateway's own."""
+
+    NOT_RUN = 'not run'
+    FAILED = 'may have run'
+    LATE = 'out of time'
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """Send the call to a server.
+
+    Attributes
+    ----------
+    again : bool
+        Whether the attempt is one beyond the first and takes from the
+        retry budget.
+    reserve : float
+        Retries that must be left over for others.
+    """
+
+    again: bool
+    reserve: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Await:
+    """Wait for an attempt to end, or for a time."""
+
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Conclude:
+    """Give the caller its final answer.
+
+    Attributes
+    ----------
+    retry_after_s : float
+        When a call that has not run should come back; 0 for no word of it.
+    """
+
+    ending: Ending
+    answer: Answer | None = None
+    retry_after_s: float = 0.0
+
+
+Action = Attempt | Await | Conclude
+
+
+@dataclass(slots=True)
+class CallPlan:
+    """State of one call between its arrival and its final answer.
+
+    Load pattern: servers slow down, refuse, or lose answers while calls run
+    there. Whatever may have run is never sent again unless the route allows
+    it, and a call is given up at once when no attempt can help it.
+
+    Attributes
+    ----------
+    final_at : float
+        Time by which the caller gets its answer.
+    usual_s : float
+        What such calls take.
+    hedge_s : float
+        Time after which an attempt counts as slow.
+    """
+
+    route: RouteTerms
+    arrived_at: float
+    final_at: float
+    usual_s: float
+    hedge_s: float
+    running: int = 0
+    sends: int = 0
+    ran: int = 0
+    _answer: Answer | None = None
+    _spare: Answer | None = None
+    _started_at: float = 0.0
+    _starved: bool = False
+
+    def decide(self, now: float) -> Action:
+        """Return the next step."""
+        if self._answer is not None:
+            return Conclude(Ending.FAILED, self._answer)
+        if now >= self.final_at:
+            return self._end_late()
+        if self.running:
+            return self._watch(now)
+        if self._is_spent(now):
+            return self._give_up()
+        return Attempt(again=self.sends > 0)
+
+    def note_start(self, now: float) -> None:
+        """Take in that an attempt was sent."""
+        self.running += 1
+        self.sends += 1
+        self._started_at = now
+
+    def note_outcome(self, outcome: Outcome) -> None:
+        """Take in that an attempt ended without an answer."""
+        self.running -= 1
+        match outcome:
+            case Outcome.UNSENT:
+                self.sends -= 1
+            case Outcome.UNKNOWN:
+                self.ran += 1
+
+    def note_answer(self, answer: Answer, *, good: bool) -> None:
+        """Take in a server's whole answer."""
+        self.running -= 1
+        self.ran += 1
+        if good or not self.route.idempotent:
+            self._answer = answer
+        else:
+            self._spare = answer
+
+    def deny(self, now: float, *, room: bool) -> Action:
+        """Return the next step where the attempt can't be made.
+
+        Parameters
+        ----------
+        room : bool
+            Whether some server had room; else the retry budget is spent.
+        """
+        self._starved = True
+        if self.running:
+            return Await(self.final_at)
+        if room or self.sends:
+            return self._give_up()
+        wait_until = self.arrived_at + WAIT_SHARE * self.route.target_s
+        if now >= wait_until:
+            return self._give_up()
+        return Await(min(wait_until, self.final_at))
+
+    def _watch(self, now: float) -> Action:
+        """Return the next step while an attempt runs."""
+        hedge_at = self._started_at + self.hedge_s
+        if not self._may_hedge(hedge_at):
+            return Await(self.final_at)
+        if now < hedge_at:
+            return Await(min(hedge_at, self.final_at))
+        return Attempt(again=True, reserve=HEDGE_RESERVE)
+
+    def _may_hedge(self, hedge_at: float) -> bool:
+        if self._starved or not self.route.idempotent or self.running > 1:
+            return False
+        if self.ran + self.running >= self.route.max_attempts:
+            return False
+        return self.final_at - hedge_at > LEAST_LATENCY_SHARE * self.usual_s
+
+    def _is_spent(self, now: float) -> bool:
+        """Tell whether no further attempt may be or is worth being made."""
+        if self.ran and not self.route.idempotent:
+            return True
+        if self.ran >= self.route.max_attempts:
+            return True
+        if self.sends >= self.route.max_attempts + EXTRA_SENDS:
+            return True
+        left_s = self.final_at - now
+        return bool(self.sends) and left_s < LEAST_LATENCY_SHARE * self.usual_s
+
+    def _end_late(self) -> Conclude:
+        if self.ran or self.running:
+            return Conclude(Ending.LATE)
+        return self._give_up()
+
+    def _give_up(self) -> Conclude:
+        if self._spare is not None:
+            return Conclude(Ending.FAILED, self._spare)
+        if self.ran or self.running:
+            return Conclude(Ending.FAILED)
+        return Conclude(
+            Ending.NOT_RUN,
+            retry_after_s=RETURN_SHARE * self.route.target_s,
+        )
+
+
+def find_hedge_s(target_s: float, slow_s: float) -> float:
+    """Return after how long an attempt counts as slow.
+
+    Parameters
+    ----------
+    slow_s : float
+        Latency that few good answers exceed.
+
+    Examples
+    --------
+    >>> find_hedge_s(1.0, 0.1), find_hedge_s(1.0, 0.5), find_hedge_s(1.0, 3.0)
+    (0.4, 0.5, 0.55)
+    """
+    earliest = HEDGE_EARLIEST_SHARE * target_s
+    return min(max(slow_s, earliest), HEDGE_LATEST_SHARE * target_s)
--- /dev/null
+++ b/ibisplank/gateway/_record.py
@@ -0,0 +1,143 @@
+"""What this gateway has seen of one backend server."""
+
+import math
+from dataclasses import dataclass, field
+
+from ibisplank.ids import ServerId
+
+#: Weight of the newest answer in the pace of a server.
+PACE_SMOOTHING = 0.3
+#: Weight of the newest outcome in the share of failures.
+FAULT_SMOOTHING = 0.25
+#: A record that nothing has confirmed fades by half in this time.
+FADE_S = 3.0
+FAULT_FADE_S = 4.0
+#: A load report is worth half after this time.
+REPORT_FADE_S = 0.25
+FIRST_REST_S = 0.3
+MAX_REST_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load that a backend server states with an answer.
+
+    Attributes
+    ----------
+    pace : float
+        How long work takes there at this moment, 1 as usual.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float = 1.0
+
+
+def parse_load(text: bytes | None) -> LoadReport | None:
+    """Return the load in a header, None where it states none.
+
+    >>> parse_load(b'3,0,8,150')
+    LoadReport(running=3, waiting=0, slots=8, pace=1.5)
+    >>> parse_load(b'nonsense') is None
+    True
+    """
+    if text is None:
+        return None
+    try:
+        figures = [float(part) for part in text.split(b',')]
+    except ValueError:
+        return None
+    if len(figures) < 3 or not all(map(math.isfinite, figures)):
+        return None
+    pace = figures[3] / 100 if len(figures) > 3 else 1.0
+    running, waiting, slots = (int(figure) for figure in figures[:3])
+    return LoadReport(running, waiting, slots, max(pace, 0.01))
+
+
+@dataclass(slots=True)
+class ServerRecord:
+    """Recent answers and failures of one backend server.
+
+    Attributes
+    ----------
+    in_flight : int
+        Calls of this gateway that run there.
+    pace : float
+        Latency relative to what such calls take elsewhere.
+    faults : float
+        Share of recent calls without a good answer.
+    rest_until : float
+        Time until which it gets no calls after it could not be reached.
+    """
+
+    server: ServerId
+    in_flight: int = 0
+    pace: float = 1.0
+    faults: float = 0.0
+    rest_until: float = 0.0
+    strikes: int = 0
+    report: LoadReport | None = None
+    report_at: float = 0.0
+    _seen_at: float = 0.0
+    _fault_at: float = 0.0
+    _past: set[str] = field(default_factory=set)
+
+    def find_pace(self, now: float) -> float:
+        """Return the pace, faded towards the usual with its age."""
+        fade = 0.5 ** (max(0.0, now - self._seen_at) / FADE_S)
+        return 1.0 + (self.pace - 1.0) * fade
+
+    def find_faults(self, now: float) -> float:
+        """Return the share of failures, faded with its age."""
+        fade = 0.5 ** (max(0.0, now - self._fault_at) / FAULT_FADE_S)
+        return self.faults * fade
+
+    def find_busy(self, now: float) -> float:
+        """Return the calls that are likely to run or wait there."""
+        if self.report is None:
+            return float(self.in_flight)
+        fade = 0.5 ** (max(0.0, now - self.report_at) / REPORT_FADE_S)
+        reported = (self.report.running + self.report.waiting) * fade
+        return max(float(self.in_flight), reported)
+
+    def note_report(self, report: LoadReport | None, now: float) -> None:
+        """Take in a load report."""
+        if report is not None:
+            self.report = report
+            self.report_at = now
+
+    def note_good(self, relative: float, now: float) -> None:
+        """Take in a good answer.
+
+        Parameters
+        ----------
+        relative : float
+            Its latency, relative to what such calls take elsewhere.
+        """
+        pace = self.find_pace(now)
+        self.pace = pace + PACE_SMOOTHING * (relative - pace)
+        self.faults = self.find_faults(now) * (1 - FAULT_SMOOTHING)
+        self._seen_at = now
+        self._fault_at = now
+        self.strikes = 0
+
+    def note_slow(self, relative: float, now: float) -> None:
+        """Take in that a call runs longer than so many times the usual."""
+        pace = self.find_pace(now)
+        if relative > pace:
+            self.pace = pace + PACE_SMOOTHING * (relative - pace)
+            self._seen_at = now
+
+    def note_fault(self, now: float) -> None:
+        """Take in a call without a good answer."""
+        faults = self.find_faults(now)
+        self.faults = faults + FAULT_SMOOTHING * (1.0 - faults)
+        self._fault_at = now
+
+    def note_unreachable(self, now: float) -> None:
+        """Take in that it took no connection, or closed all."""
+        self.note_fault(now)
+        self.strikes += 1
+        rest_s = min(MAX_REST_S, FIRST_REST_S * 2 ** (self.strikes - 1))
+        self.rest_until = now + rest_s
--- /dev/null
+++ b/ibisplank/platform/_decode.py
@@ -0,0 +1,244 @@
+"""Rows of the platform's store as the gateway's facts.
+
+Bodies name fields in the platform's words; each type here says in which of
+the gateway's fields a value ends up, where the name misleads.
+"""
+
+import re
+
+import msgspec
+
+from ibisplank.errors import UndecodableRow
+from ibisplank.gateway import (
+    CallerLimits,
+    ConfigFact,
+    Fact,
+    MemberFact,
+    MemberRecord,
+    Repeat,
+    RouteName,
+    RouteTerms,
+    RoutingConfig,
+    ServerEntry,
+    ServerFact,
+    ServiceRules,
+    Share,
+    Unreadable,
+    ZoneFact,
+)
+from ibisplank.ids import MemberId, ServerId, ServiceId, ZoneId
+from ibisplank.platform._names import CONFIG_KEY, EVACUATE_PREFIX
+from ibisplank.store import Topic, VersionedRow
+
+_VERSION = re.compile('r([0-9]{1,18})')
+_ADDRESS = re.compile(r'(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})')
+_STATES = {'ready': False, 'draining': True}
+_KINDS = {'idempotent': Repeat.IDEMPOTENT, 'non_idempotent': Repeat.ONCE}
+
+
+class SplitBody(msgspec.Struct):
+    """One part of a `trafficSplit`."""
+
+    service: str
+    weight: float
+
+
+class RouteBody(msgspec.Struct, rename='camel'):
+    """One of the config's `routes`."""
+
+    name: str
+    hostname: str
+    prefix: str
+    route_type: str
+    timeout_s: float
+    target_latency_s: float
+    priority: int
+    max_attempts: int
+    service: str | None = None
+    traffic_split: list[SplitBody] = []
+
+
+class ServiceBody(msgspec.Struct, rename='camel'):
+    """One of the config's `services`."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    warmup_s: float = 0.0
+    # Calls a second that a cold server bears, not a rate of warming up.
+    warmup_per_s: float = 1.0
+
+
+class LimitsBody(msgspec.Struct, rename='camel'):
+    """The config's `limits`."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class ConfigBody(msgspec.Struct, rename='camel'):
+    """The row `op/config`."""
+
+    config_version: str
+    routes: list[RouteBody]
+    services: list[ServiceBody]
+    limits: LimitsBody
+
+
+class ServerBody(msgspec.Struct, rename='camel'):
+    """A row of `servers`."""
+
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    warmup_left_s: float = 0.0
+    born: int = 0
+
+
+class MemberBody(msgspec.Struct):
+    """A row of the gateways' own table."""
+
+    member: str
+    peer: str
+    zone: str
+
+
+def decode_row(topic: Topic, row: VersionedRow) -> Fact | None:
+    """Return what a row says, None where it concerns no gateway."""
+    try:
+        match topic:
+            case Topic.OPERATOR:
+                return _decode_operator(row)
+            case Topic.SERVERS:
+                return _decode_server(row)
+            case Topic.MEMBERS:
+                return _decode_member(row)
+    except (msgspec.DecodeError, UndecodableRow, ValueError) as error:
+        server = ServerId(row.key) if topic is Topic.SERVERS else None
+        return Unreadable(row.key, str(error), server)
+
+
+def encode_member(record: MemberRecord) -> bytes:
+    """Return the content of a gateway's own row."""
+    body = MemberBody(record.member, record.peer, record.zone)
+    return msgspec.json.encode(body)
+
+
+def decode_config(content: bytes) -> RoutingConfig:
+    """Return a config.
+
+    Raises
+    ------
+    UndecodableRow
+        A field is missing or holds what it can't.
+    """
+    try:
+        body = msgspec.json.decode(content, type=ConfigBody)
+    except msgspec.DecodeError as error:
+        raise UndecodableRow(CONFIG_KEY, str(error)) from error
+    services = {
+        ServiceId(each.name): _make_service(each) for each in body.services
+    }
+    return RoutingConfig(
+        _parse_version(body.config_version),
+        tuple(_make_route(each, services) for each in body.routes),
+        services,
+        CallerLimits(
+            body.limits.max_header_bytes,
+            body.limits.max_body_bytes,
+            body.limits.header_timeout_s,
+            body.limits.idle_timeout_s,
+        ),
+    )
+
+
+def _decode_operator(row: VersionedRow) -> Fact | None:
+    if row.key.startswith(EVACUATE_PREFIX):
+        zone = ZoneId(row.key[len(EVACUATE_PREFIX) :])
+        return ZoneFact(zone, not row.deleted)
+    if row.key != CONFIG_KEY or row.deleted:
+        return None
+    return ConfigFact(decode_config(row.content))
+
+
+def _decode_server(row: VersionedRow) -> Fact:
+    server = ServerId(row.key)
+    if row.deleted:
+        return ServerFact(server, None)
+    body = msgspec.json.decode(row.content, type=ServerBody)
+    if body.state not in _STATES:
+        raise UndecodableRow('state', f'unknown state {body.state!r}')
+    if _ADDRESS.fullmatch(body.address) is None:
+        raise UndecodableRow('address', f'no IP and port: {body.address!r}')
+    entry = ServerEntry(
+        server,
+        ServiceId(body.service),
+        body.address,
+        ZoneId(body.zone),
+        max(1, body.slots),
+        _STATES[body.state],
+        body.warmup_left_s,
+        body.born,
+    )
+    return ServerFact(server, entry)
+
+
+def _decode_member(row: VersionedRow) -> Fact:
+    if row.deleted:
+        return MemberFact(row.key, None)
+    body = msgspec.json.decode(row.content, type=MemberBody)
+    record = MemberRecord(MemberId(body.member), body.peer, ZoneId(body.zone))
+    return MemberFact(row.key, record)
+
+
+def _parse_version(text: str) -> int:
+    found = _VERSION.fullmatch(text)
+    if found is None:
+        raise UndecodableRow('configVersion', f'not r and a number: {text!r}')
+    return int(found.group(1))
+
+
+def _make_service(body: ServiceBody) -> ServiceRules:
+    return ServiceRules(
+        ServiceId(body.name),
+        body.health_path,
+        body.max_connections,
+        body.warmup_s,
+        body.warmup_per_s,
+    )
+
+
+def _make_route(
+    body: RouteBody,
+    services: dict[ServiceId, ServiceRules],
+) -> RouteTerms:
+    kind = _KINDS.get(body.route_type)
+    if kind is None:
+        raise UndecodableRow('routeType', f'unknown {body.route_type!r}')
+    shares = tuple(
+        Share(ServiceId(part.service), part.weight)
+        for part in body.traffic_split
+        if part.weight > 0
+    )
+    if body.service is not None:
+        shares = (Share(ServiceId(body.service), 1.0),)
+    if not shares:
+        raise UndecodableRow('service', f'route {body.name} names none')
+    for share in shares:
+        if share.service not in services:
+            raise UndecodableRow('service', f'unknown {share.service!r}')
+    return RouteTerms(
+        RouteName(body.name),
+        body.hostname.lower(),
+        body.prefix,
+        kind,
+        body.timeout_s,
+        body.target_latency_s,
+        body.priority,
+        shares,
+        body.max_attempts,
+    )
--- /dev/null
+++ b/ibisplank/platform/_settings.py
@@ -0,0 +1,133 @@
+"""The platform's settings file as the gateway's settings."""
+
+import os
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+
+from ibisplank.errors import SettingError
+from ibisplank.gateway import GatewaySettings, RetryTerms
+from ibisplank.ids import VmId, ZoneId
+from ibisplank.platform._names import SETTINGS_VARIABLE
+
+#: Where a gateway serves its metrics; `deploy/system.toml` names it too.
+METRICS_PORT = 9464
+NonNegative = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class SelfTable(msgspec.Struct, rename='camel'):
+    """Table `self`."""
+
+    node_name: str
+    ip: str
+    zone: str
+
+
+class ListenTable(msgspec.Struct, rename='camel'):
+    """Table `network.listenAddrs`."""
+
+    frontend: str
+    readiness: str
+    control_plane: str
+
+
+class NetworkTable(msgspec.Struct, rename='camel'):
+    """Table `network`."""
+
+    listen_addrs: ListenTable
+    seed_nodes: list[str] = []
+
+
+class StoreTable(msgspec.Struct):
+    """Table `provider.provider`."""
+
+    address: str
+
+
+class ProviderTable(msgspec.Struct):
+    """Table `provider`."""
+
+    provider: StoreTable
+
+
+class BoundsTable(msgspec.Struct, rename='camel'):
+    """Table `timers.bounds`, as far as a gateway uses it."""
+
+    grace_s: NonNegative
+    retry_budget_ratio: NonNegative
+    budget_window_s: NonNegative
+    budget_slack: NonNegative
+
+
+class TimersTable(msgspec.Struct):
+    """Table `timers`."""
+
+    bounds: BoundsTable
+
+
+class SettingsFile(msgspec.Struct):
+    """The whole file; fields that are not named here are ignored."""
+
+    self: SelfTable
+    network: NetworkTable
+    provider: ProviderTable
+    timers: TimersTable
+
+
+def read_settings(path: Path | None = None) -> GatewaySettings:
+    """Return the settings in a file.
+
+    Parameters
+    ----------
+    path : Path or None
+        The file; the platform's variable names it where None.
+
+    Raises
+    ------
+    SettingError
+        The file is missing, or a field of it is.
+    """
+    if path is None:
+        named = os.environ.get(SETTINGS_VARIABLE)
+        if not named:
+            raise SettingError(f'set {SETTINGS_VARIABLE} to the settings file')
+        path = Path(named)
+    try:
+        document = path.read_bytes()
+    except OSError as error:
+        raise SettingError(f'settings file: {error}; check its path') from error
+    return parse_settings(document)
+
+
+def parse_settings(document: bytes) -> GatewaySettings:
+    """Return the settings in a TOML document.
+
+    Raises
+    ------
+    SettingError
+        The document is no TOML, or a field is missing or of another type.
+    """
+    try:
+        whole = msgspec.toml.decode(document, type=SettingsFile)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise SettingError(f'settings: {error}; correct that field') from error
+    own = whole.self
+    listen = whole.network.listen_addrs
+    bounds = whole.timers.bounds
+    return GatewaySettings(
+        vm=VmId(own.node_name),
+        zone=ZoneId(own.zone),
+        callers=listen.frontend,
+        readiness=listen.readiness,
+        peer=listen.control_plane,
+        metrics=f'{own.ip}:{METRICS_PORT}',
+        store=whole.provider.provider.address,
+        seeds=tuple(whole.network.seed_nodes),
+        grace_s=bounds.grace_s,
+        retry=RetryTerms(
+            bounds.retry_budget_ratio,
+            bounds.budget_slack,
+            bounds.budget_window_s,
+        ),
+    )
--- /dev/null
+++ b/ibisplank/platform/_store.py
@@ -0,0 +1,206 @@
+"""The only client of the platform's store."""
+
+import base64
+from collections.abc import Mapping
+from urllib.parse import urlencode
+
+import anyio
+import httpcore
+import msgspec
+
+from ibisplank.errors import HistoryGone, OutcomeUnknown, StoreDown
+from ibisplank.platform._names import (
+    MEMBER_TABLE,
+    OPERATOR_TABLE,
+    SERVER_TABLE,
+)
+from ibisplank.store import Reading, Topic, VersionedRow
+
+OK = 200
+GONE = 410
+CONNECT_S = 0.3
+CONNECTIONS = 8
+#: An idle connection is not used again after this time.
+KEEP_S = 5.0
+PAGE_ROWS = 500
+#: Times that a table is listed anew because it changed between pages.
+LISTINGS = 3
+
+_TABLES = {
+    Topic.OPERATOR: OPERATOR_TABLE,
+    Topic.SERVERS: SERVER_TABLE,
+    Topic.MEMBERS: MEMBER_TABLE,
+}
+
+
+class RowBody(msgspec.Struct, rename='camel'):
+    """One row in an answer."""
+
+    key: str
+    value: str = ''
+    row_version: int = 0
+    deleted: bool = False
+
+
+class RowsBody(msgspec.Struct, rename='camel'):
+    """Answer to a read."""
+
+    row_version: int
+    now_s: float
+    rows: list[RowBody] = []
+    has_more: bool = False
+
+
+class HttpRows:
+    """Rows of the platform's store over HTTP.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port, joined by a colon.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._base = f'http://{address}'
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=CONNECTIONS,
+            keepalive_expiry=KEEP_S,
+        )
+
+    async def list_rows(self, topic: Topic, timeout_s: float) -> Reading:
+        """Return all rows of a table as of one moment."""
+        for _ in range(LISTINGS):
+            pages = await self._list_pages(topic, timeout_s)
+            if len({page.row_version for page in pages}) == 1:
+                break
+        rows = [row for page in pages for row in page.rows]
+        # A change between pages is read again from the first one's version.
+        return _make_reading(topic, pages[0], rows, whole=True)
+
+    async def await_changes(
+        self,
+        topic: Topic,
+        after: int,
+        wait_s: float,
+        timeout_s: float,
+    ) -> Reading:
+        """Return the rows changed since a version, or none after a wait."""
+        query = {
+            'table': _TABLES[topic],
+            'after': after,
+            'waitMs': int(wait_s * 1000),
+        }
+        response = await self._read('/rows-feed', query, timeout_s)
+        if response.status == GONE:
+            raise HistoryGone(topic.value)
+        body = _decode(response)
+        return _make_reading(topic, body, body.rows, whole=False)
+
+    async def put_row(
+        self,
+        topic: Topic,
+        key: str,
+        content: bytes,
+        timeout_s: float,
+    ) -> None:
+        """Write a row, whatever it held."""
+        put = {
+            'table': _TABLES[topic],
+            'part': '',
+            'key': key,
+            'value': base64.b64encode(content).decode(),
+        }
+        body = msgspec.json.encode(
+            {'expected': [], 'puts': [put], 'delete': []},
+        )
+        try:
+            response = await self._call('POST', '/rows-tx', body, timeout_s)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            raise StoreDown(repr(error)) from error
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            raise OutcomeUnknown(repr(error)) from error
+        except (httpcore.TimeoutException, TimeoutError) as error:
+            raise OutcomeUnknown('no answer in time') from error
+        if response.status != OK:
+            raise StoreDown(f'answer {response.status}')
+
+    async def _list_pages(
+        self,
+        topic: Topic,
+        timeout_s: float,
+    ) -> list[RowsBody]:
+        pages: list[RowsBody] = []
+        query: dict[str, object] = {
+            'table': _TABLES[topic],
+            'part': '',
+            'limit': PAGE_ROWS,
+        }
+        while True:
+            page = _decode(await self._read('/rows-get', query, timeout_s))
+            pages.append(page)
+            if not page.has_more or not page.rows:
+                return pages
+            query['from'] = f'{page.rows[-1].key}\0'
+
+    async def _read(
+        self,
+        path: str,
+        query: Mapping[str, object],
+        timeout_s: float,
+    ) -> httpcore.Response:
+        target = f'{path}?{urlencode(query)}'
+        try:
+            return await self._call('GET', target, b'', timeout_s)
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            raise StoreDown(repr(error)) from error
+        except (httpcore.TimeoutException, TimeoutError) as error:
+            raise StoreDown('no answer in time') from error
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_s: float,
+    ) -> httpcore.Response:
+        headers = [('Content-Type', 'application/json')] if body else []
+        with anyio.fail_after(timeout_s):
+            return await self._pool.request(
+                method,
+                f'{self._base}{target}',
+                headers=headers,
+                content=body or None,
+                extensions={'timeout': {'connect': CONNECT_S}},
+            )
+
+
+def _decode(response: httpcore.Response) -> RowsBody:
+    if response.status != OK:
+        raise StoreDown(f'answer {response.status}')
+    try:
+        return msgspec.json.decode(response.content, type=RowsBody)
+    except msgspec.DecodeError as error:
+        raise StoreDown(f'unreadable answer: {error}') from error
+
+
+def _make_reading(
+    topic: Topic,
+    body: RowsBody,
+    rows: list[RowBody],
+    *,
+    whole: bool,
+) -> Reading:
+    return Reading(
+        topic,
+        tuple(map(_make_row, rows)),
+        whole,
+        body.row_version,
+        body.now_s,
+    )
+
+
+def _make_row(row: RowBody) -> VersionedRow:
+    content = b'' if row.deleted else base64.b64decode(row.value)
+    return VersionedRow(row.key, content, row.row_version, row.deleted)
+
+
--- a/ibisplank/store/__init__.py
+++ b/ibisplank/store/__init__.py
@@ -9,6 +9,13 @@
 )
 from ibisplank.store._objects import MemoryObjects, Objects
 from ibisplank.store._roster import RosterStore, decode_roster
+from ibisplank.store._rows import (
+    MemoryRows,
+    Reading,
+    RowStore,
+    Topic,
+    VersionedRow,
+)
 from ibisplank.store._table import (
     ABSENT,
     MemoryTable,
@@ -23,14 +30,19 @@
     'ConflictReply',
     'HttpPlatform',
     'MemoryObjects',
+    'MemoryRows',
     'MemoryTable',
     'Objects',
     'ReadReply',
     'ReadRequest',
+    'Reading',
     'RosterStore',
     'Row',
+    'RowStore',
     'Table',
+    'Topic',
     'Transaction',
+    'VersionedRow',
     'decode_head',
     'decode_roster',
 )
