--- a/ibisplank/cli/gateway.py
+++ b/ibisplank/cli/gateway.py
@@ -1,12 +1,19 @@
 """Program `ibisplank-gateway`."""
 
+import functools
 from pathlib import Path
 
 import click
 
 from ibisplank.cli._shared import Program, log_option, report_errors, version_option
-from ibisplank.gateway import Gateway
-from ibisplank.platform import DIALECT, HttpRows, decode_row, read_settings
+from ibisplank.gateway import Gateway, Platform
+from ibisplank.platform import (
+    DIALECT,
+    HttpRows,
+    decode_row,
+    encode_member,
+    read_settings,
+)
 from ibisplank.process import LogFormat, run_loop, set_logs
 
 EXAMPLE = """
@@ -34,8 +41,14 @@
     """Answer callers from backend servers, as the platform's store says."""
     chosen = read_settings(settings)
     set_logs(LogFormat(log_format), 'gateway')
-    store = HttpRows(chosen.store)
-    run_loop(_run, Gateway(chosen, store, decode_row, DIALECT))
+    platform = Platform(
+        HttpRows(chosen.store),
+        decode_row,
+        encode_member,
+        DIALECT,
+        functools.partial(read_settings, settings),
+    )
+    run_loop(_run, Gateway(chosen, platform))
 
 
 if __name__ == '__main__':
--- a/ibisplank/connection/__init__.py
+++ b/ibisplank/connection/__init__.py
@@ -60,6 +60,7 @@
     Envelope,
     Message,
 )
+from ibisplank.connection._news import Ping, Pong, ServerLoads
 from ibisplank.connection._peer import LinkOwner, PeerLink, PeerServer
 from ibisplank.connection._tls import PeerTls, TlsFiles
 
@@ -91,6 +92,8 @@
     'PeerLink',
     'PeerServer',
     'PeerTls',
+    'Ping',
+    'Pong',
     'PermitAsk',
     'PermitGrant',
     'PermitMessage',
@@ -103,6 +106,7 @@
     'Route',
     'Scope',
     'Send',
+    'ServerLoads',
     'ServerNews',
     'SlotChoice',
     'SlotFreed',
--- a/ibisplank/connection/_asgi.py
+++ b/ibisplank/connection/_asgi.py
@@ -30,6 +30,7 @@
         log_config=None,
         access_log=False,
         lifespan='off',
+        interface='asgi3',
         server_header=False,
         date_header=False,
         proxy_headers=False,
--- a/ibisplank/connection/_messages.py
+++ b/ibisplank/connection/_messages.py
@@ -5,9 +5,15 @@
 from ibisplank.connection._caution import ClaimMessage, SuspectMessage
 from ibisplank.connection._control import ControlMessage
 from ibisplank.connection._lending import PermitMessage, SlotMessage
+from ibisplank.connection._news import NewsMessage
 
 Message = (
-    ControlMessage | SlotMessage | PermitMessage | SuspectMessage | ClaimMessage
+    ControlMessage
+    | SlotMessage
+    | PermitMessage
+    | SuspectMessage
+    | ClaimMessage
+    | NewsMessage
 )
 
 
--- a/ibisplank/connection/_peer.py
+++ b/ibisplank/connection/_peer.py
@@ -13,6 +13,7 @@
 
 from ibisplank.connection._control import Hello
 from ibisplank.connection._messages import Envelope, Message
+from ibisplank.connection._news import Ping, Pong
 from ibisplank.connection._tls import PeerTls
 from ibisplank.ids import MemberId
 
@@ -20,6 +21,10 @@
 REDIAL_S = 0.2
 DIAL_TIMEOUT_S = 1.0
 OUTBOX_LIMIT = 10000
+#: Pause between two questions for a sign of life.
+PING_S = 1.0
+#: A stream without a sign of life for this long is given up.
+SILENCE_S = 2.2
 
 Receiver = Callable[[MemberId, Message], None]
 
@@ -84,6 +89,9 @@
             for message in envelope.messages:
                 if isinstance(message, Hello):
                     peer = message.member
+                if isinstance(message, Ping):
+                    await stream.send_message(Envelope((Pong(),)))
+                    continue
                 if peer is not None:
                     self._receive(peer, message)
 
@@ -173,9 +181,15 @@
             self._owner.link_up(self.address, first.messages[0].member)
             async with anyio.create_task_group() as group:
                 group.start_soon(self._send_queued, stream)
-                await stream.recv_message()
+                group.start_soon(self._ping)
+                await _hear_until_lost(stream)
                 group.cancel_scope.cancel()
 
+    async def _ping(self) -> None:
+        while True:
+            await anyio.sleep(PING_S)
+            self.send(Ping())
+
     async def _send_queued(self, stream: Any) -> None:
         while True:
             await self._wake.wait()
@@ -183,3 +197,12 @@
             batch = Envelope(tuple(self._outbox))
             self._outbox = []
             await stream.send_message(batch)
+
+
+async def _hear_until_lost(stream: Any) -> None:
+    """Return when the stream has ended, or has gone silent."""
+    heard: Any = Envelope(())
+    with anyio.move_on_after(SILENCE_S) as scope:
+        while heard is not None:
+            heard = await stream.recv_message()
+            scope.deadline = anyio.current_time() + SILENCE_S
--- a/ibisplank/gateway/__init__.py
+++ b/ibisplank/gateway/__init__.py
@@ -12,7 +12,7 @@
     Unreadable,
     ZoneFact,
 )
-from ibisplank.gateway._gateway import Gateway
+from ibisplank.gateway._gateway import Gateway, Platform
 from ibisplank.gateway._model import (
     CallerLimits,
     Repeat,
@@ -35,6 +35,7 @@
     'GatewaySettings',
     'MemberFact',
     'MemberRecord',
+    'Platform',
     'Repeat',
     'RetryTerms',
     'RouteName',
--- a/ibisplank/gateway/_fleet.py
+++ b/ibisplank/gateway/_fleet.py
@@ -5,6 +5,7 @@
 
 from ibisplank.connection import Route
 from ibisplank.gateway._knowledge import Knowledge
+from ibisplank.gateway._occupancy import Occupancy
 from ibisplank.gateway._pacing import ColdPace, choose_pacer
 from ibisplank.gateway._placing import Candidate
 from ibisplank.gateway._record import ServerRecord
@@ -15,6 +16,10 @@
 Key = tuple[ServerId, int]
 
 
+def _ignore() -> None:
+    """Stand in for an exchange that is not there yet."""
+
+
 @dataclass(slots=True)
 class Fleet:
     """Backend servers as this gateway uses them.
@@ -23,12 +28,16 @@
     ----------
     member : MemberId
         This process.
+    notify : callable
+        Called when the calls in flight have changed.
     """
 
     member: MemberId
     knowledge: Knowledge
     clock: Callable[[], float]
     pace: ColdPace = field(default_factory=ColdPace)
+    occupancy: Occupancy = field(default_factory=Occupancy)
+    notify: Callable[[], None] = _ignore
     _records: dict[Key, ServerRecord] = field(default_factory=dict)
     _routes: dict[Key, Route] = field(default_factory=dict)
 
@@ -50,7 +59,8 @@
             cold = standing.cold_until > now
             if cold and not self._may_pace(server, now):
                 continue
-            candidates.append(Candidate(standing, record, cold))
+            others = self.occupancy.count(server, now)
+            candidates.append(Candidate(standing, record, cold, others))
         return candidates
 
     def find_record(self, server: ServerId, born_ms: int) -> ServerRecord:
@@ -72,8 +82,26 @@
             self._routes[key] = route
         return route
 
-    def note_sent(self, candidate: Candidate, now: float) -> None:
+    def list_loads(self) -> dict[ServerId, int]:
+        """Return the calls in flight by server."""
+        return {
+            record.server: record.in_flight
+            for record in self._records.values()
+            if record.in_flight
+        }
+
+    def note_start(self, candidate: Candidate, now: float) -> None:
         """Take in that a call goes to a server."""
+        candidate.record.in_flight += 1
+        self.notify()
+        self._note_paced(candidate, now)
+
+    def note_end(self, candidate: Candidate) -> None:
+        """Take in that a call no longer runs on a server."""
+        candidate.record.in_flight -= 1
+        self.notify()
+
+    def _note_paced(self, candidate: Candidate, now: float) -> None:
         if not candidate.cold:
             return
         service = candidate.standing.entry.service
@@ -94,7 +122,9 @@
 
     def count_members(self) -> int:
         """Return how many gateways share what is bounded over all."""
-        return max(1, len(self.knowledge.members))
+        members = self.knowledge.members.values()
+        known = {record.member for record in members}
+        return len(known | {self.member})
 
     def _may_pace(self, server: ServerId, now: float) -> bool:
         members = [
--- a/ibisplank/gateway/_forwarder.py
+++ b/ibisplank/gateway/_forwarder.py
@@ -84,6 +84,12 @@
         self._usual: dict[RouteName, Average] = {}
         self._waiting: set[Race] = set()
 
+    def learn_retry(self, retry: RetryTerms) -> None:
+        """Take in another bound on retries."""
+        self._retry = retry
+        for share in self._shares.values():
+            share.terms = retry
+
     async def run(self, job: Job) -> Conclude:
         """Return how a call ends."""
         service = self._splitter.choose(job.route, self._luck.random())
@@ -123,7 +129,7 @@
             return race.plan.deny(now, room=True)
         race.tried.add(chosen.server)
         race.plan.note_start(now)
-        self._fleet.note_sent(chosen, now)
+        self._fleet.note_start(chosen, now)
         race.group.start_soon(self._attempt, race, chosen, now)
         return Await(now)
 
@@ -132,12 +138,10 @@
         return share.spend(now, self._fleet.count_members(), action.reserve)
 
     async def _attempt(self, race: Race, chosen: Candidate, now: float) -> None:
-        record = chosen.record
-        record.in_flight += 1
         try:
             await self._exchange(race, chosen, now)
         finally:
-            record.in_flight -= 1
+            self._fleet.note_end(chosen)
             self._note_unfinished(race, chosen, now)
             race.wake()
 
--- a/ibisplank/gateway/_freshness.py
+++ b/ibisplank/gateway/_freshness.py
@@ -15,6 +15,11 @@
     A reading may be delayed on its way from a peer. The store's clock tells
     by how much: the fastest reading so far sets the offset of the clocks.
 
+    Attributes
+    ----------
+    newest_s : float
+        The store's clock at the newest reading.
+
     Examples
     --------
     >>> fresh = Freshness()
@@ -24,8 +29,8 @@
     (True, 2.5)
     """
 
+    newest_s: float = 0.0
     _offset_s: float | None = None
-    _newest_s: float = 0.0
     _noted_at: float = 0.0
     _returned_at: float | None = None
 
@@ -33,11 +38,11 @@
         """Take in a reading; return whether it is the newest."""
         if self._offset_s is None or now - store_s < self._offset_s:
             self._offset_s = now - store_s
-        if store_s <= self._newest_s:
+        if store_s <= self.newest_s:
             return False
         if self._noted_at and now - self._noted_at > OUTAGE_S:
             self._returned_at = now
-        self._newest_s = store_s
+        self.newest_s = store_s
         self._noted_at = now
         return True
 
@@ -45,7 +50,7 @@
         """Return the age of the picture in seconds, infinite at first."""
         if self._offset_s is None:
             return float('inf')
-        return max(0.0, now - self._newest_s - self._offset_s)
+        return max(0.0, now - self.newest_s - self._offset_s)
 
     def find_grace(self, now: float) -> float:
         """Return how much longer entries may be missing by an outage."""
--- a/ibisplank/gateway/_gateway.py
+++ b/ibisplank/gateway/_gateway.py
@@ -3,25 +3,29 @@
 import random
 import signal
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import anyio
-import uvicorn
 from anyio.abc import TaskGroup
 from loguru import logger
 
 from ibisplank.connection import HttpServer, Receive, Scope, Send, answer, make_server
 from ibisplank.gateway._dialect import Dialect
-from ibisplank.gateway._facts import Decoder
+from ibisplank.errors import SettingError, StoreError
+from ibisplank.gateway._facts import Decoder, MemberRecord
 from ibisplank.gateway._fleet import Fleet
 from ibisplank.gateway._forwarder import Forwarder
 from ibisplank.gateway._front import Front
 from ibisplank.gateway._knowledge import Knowledge
+from ibisplank.gateway._mesh import Mesh
 from ibisplank.gateway._placing import Placer
 from ibisplank.gateway._settings import EXIT_SHARE, GatewaySettings
 from ibisplank.gateway._watcher import Watcher
 from ibisplank.process import make_member, read_clock, split_address
 from ibisplank.store import Reading, RowStore, Topic
 
+JOIN_ANSWER_S = 0.5
+JOIN_PAUSE_S = (0.3, 0.8)
 #: After this, readiness has reached the platform's balancer.
 LINGER_S = 2.6
 DRAIN_POLL_S = 0.05
@@ -30,23 +34,41 @@
 UNAVAILABLE = 503
 
 
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """What a gateway needs of the platform that it runs on.
+
+    Attributes
+    ----------
+    encode_member : callable
+        Returns the content of a gateway's own row.
+    reload : callable
+        Reads the settings again.
+    """
+
+    store: RowStore
+    decode: Decoder
+    encode_member: Callable[[MemberRecord], bytes]
+    dialect: Dialect
+    reload: Callable[[], GatewaySettings]
+
+
 class Gateway:
     """One gateway process."""
 
     def __init__(
         self,
         settings: GatewaySettings,
-        store: RowStore,
-        decode: Decoder,
-        dialect: Dialect,
+        platform: Platform,
     ) -> None:
         self.member = make_member(settings.vm)
         self._settings = settings
-        self._store = store
-        self._dialect = dialect
+        self._platform = platform
+        self._store = platform.store
+        dialect = platform.dialect
         luck = random.Random(self.member)
         self._luck = luck
-        self.knowledge = Knowledge(decode)
+        self.knowledge = Knowledge(platform.decode)
         self._fleet = Fleet(self.member, self.knowledge, read_clock)
         self._forwarder = Forwarder(
             self._fleet,
@@ -61,6 +83,15 @@
             dialect,
             read_clock,
         )
+        self._own = MemberRecord(self.member, settings.peer, settings.zone)
+        self._mesh = Mesh(
+            self._own,
+            settings.seeds,
+            self.knowledge,
+            self._fleet,
+            self._learn,
+            read_clock,
+        )
         self._stopping = False
         self._servers: list[HttpServer] = []
 
@@ -94,25 +125,53 @@
             self._servers.append(server)
 
     def _start_tasks(self, group: TaskGroup) -> None:
-        for topic in (Topic.OPERATOR, Topic.SERVERS):
+        group.start_soon(self._mesh.run)
+        group.start_soon(self._join)
+        for topic in Topic:
             group.start_soon(self._make_watcher(topic).run)
         group.start_soon(self._tidy)
 
     def _make_watcher(self, topic: Topic) -> Watcher:
         freshness = self.knowledge.freshness[topic]
+        rows = self.knowledge.rows[topic]
         return Watcher(
             topic,
             self._store,
             self._take,
-            lambda: True,
+            self._mesh.is_reader,
             lambda: freshness.find_age(read_clock()),
+            lambda: rows.version,
             self._luck,
         )
 
     def _take(self, reading: Reading) -> None:
+        """Take in what this gateway has read."""
+        self._learn(reading)
+        self._mesh.send_reading(reading)
+
+    def _learn(self, reading: Reading) -> None:
+        """Take in a reading, whoever took it."""
         self.knowledge.learn(reading, read_clock())
         self._adopt_limits()
 
+    async def _join(self) -> None:
+        """Write this gateway's row, until the store has it."""
+        content = self._platform.encode_member(self._own)
+        while True:
+            try:
+                await self._store.put_row(
+                    Topic.MEMBERS,
+                    self._settings.vm,
+                    content,
+                    JOIN_ANSWER_S,
+                )
+            except StoreError as error:
+                logger.warning('row of this gateway not written: {}', error)
+                await anyio.sleep(self._luck.uniform(*JOIN_PAUSE_S))
+                continue
+            logger.info('joined as {}', self.member)
+            return
+
     def _adopt_limits(self) -> None:
         limits = self.knowledge.config.limits
         for server in self._servers:
@@ -138,7 +197,18 @@
             async for number in seen:
                 if number != signal.SIGHUP:
                     return
-                logger.info('settings may have changed')
+                self._reload()
+
+    def _reload(self) -> None:
+        """Read the settings again; keep those in force if they are bad."""
+        try:
+            settings = self._platform.reload()
+        except SettingError as error:
+            logger.error('settings kept as they were: {}', error)
+            return
+        self._settings = settings
+        self._forwarder.learn_retry(settings.retry)
+        logger.info('settings read again')
 
     async def _drain(self) -> None:
         """Leave the balancer's rotation, then let all calls finish."""
--- a/ibisplank/gateway/_knowledge.py
+++ b/ibisplank/gateway/_knowledge.py
@@ -51,14 +51,22 @@
 
     def learn(self, reading: Reading, now: float) -> list[VersionedRow]:
         """Take in a reading; return the rows that it changed."""
-        self.freshness[reading.topic].note(reading.store_s, now)
-        changed = self.rows[reading.topic].merge(reading)
+        rows = self.rows[reading.topic]
+        if rows.follows(reading):
+            self.freshness[reading.topic].note(reading.store_s, now)
+        changed = rows.merge(reading)
         for row in changed:
             fact = self.decode(reading.topic, row)
             if fact is not None:
                 self._apply(fact, now)
         return changed
 
+    def tell(self, topic: Topic) -> Reading:
+        """Return all that is known of a topic, for a peer."""
+        rows = self.rows[topic]
+        store_s = self.freshness[topic].newest_s
+        return Reading(topic, rows.list_rows(), True, rows.version, store_s)
+
     def find_age(self, now: float) -> float:
         """Return the age of what is known of operators and servers."""
         return max(
--- /dev/null
+++ b/ibisplank/gateway/_mesh.py
@@ -0,0 +1,147 @@
+"""Streams between gateways: readings for all, loads within a zone."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from ibisplank.connection import Hello, Message, PeerServer, ServerLoads
+from ibisplank.gateway._facts import MemberRecord
+from ibisplank.gateway._fleet import Fleet
+from ibisplank.gateway._knowledge import Knowledge
+from ibisplank.gateway._readers import Readers
+from ibisplank.ids import MemberId
+from ibisplank.process import Links
+from ibisplank.store import Reading, Topic
+
+#: How often the streams are compared with the members.
+LOOK_S = 0.5
+#: How often a gateway repeats what it has in flight.
+REPEAT_S = 1.0
+#: How often processes that are not members yet are left.
+GUEST_S = 5.0
+
+
+@dataclass(slots=True)
+class Mesh:
+    """This gateway's part in the exchange.
+
+    Parameters
+    ----------
+    own : MemberRecord
+        How the others reach this gateway.
+    seeds : tuple of str
+        Addresses to ask while nothing is known.
+    take : callable
+        Receives the readings of others.
+    """
+
+    own: MemberRecord
+    seeds: tuple[str, ...]
+    knowledge: Knowledge
+    fleet: Fleet
+    take: Callable[[Reading], None]
+    clock: Callable[[], float]
+    readers: Readers = field(init=False)
+    _links: Links = field(init=False)
+    _reading: set[MemberId] = field(default_factory=set)
+    _group: TaskGroup | None = None
+
+    def __post_init__(self) -> None:
+        """Make what depends on the address."""
+        self.readers = Readers(self.own.member)
+        hello = Hello(self.own.member, self.own.peer)
+        self._links = Links(hello, self._greet)
+        self.fleet.notify = self._send_loads
+
+    def is_reader(self) -> bool:
+        """Tell whether this gateway reads for the others."""
+        return self.own.member in self._reading
+
+    async def run(self) -> None:
+        """Exchange with the other gateways, for ever."""
+        host, _, port = self.own.peer.rpartition(':')
+        server = PeerServer(self.own.member, self._receive)
+        await server.start(host, int(port))
+        try:
+            async with anyio.create_task_group() as group:
+                self._group = group
+                group.start_soon(self._repeat)
+                group.start_soon(self._leave_guests)
+                await self._follow_members(group)
+        finally:
+            await server.stop()
+
+    def send_reading(self, reading: Reading) -> None:
+        """Pass on what this gateway has read, if others rely on it."""
+        if self.is_reader():
+            self._links.send_all(reading)
+
+    async def _follow_members(self, group: TaskGroup) -> None:
+        while True:
+            self._choose_readers()
+            self._links.want(self._list_wanted(), group)
+            await anyio.sleep(LOOK_S)
+
+    def _choose_readers(self) -> None:
+        members = {**self.knowledge.members, '': self.own}
+        unique = {each.member: each for each in members.values()}
+        chosen = self.readers.choose(unique.values(), self.clock())
+        if chosen != self._reading:
+            logger.info('readers are {}', sorted(chosen))
+        self._reading = chosen
+
+    def _list_wanted(self) -> set[str]:
+        """Return the peers that this gateway has something to tell."""
+        wanted = set()
+        for record in self.knowledge.members.values():
+            if record.zone == self.own.zone or self.is_reader():
+                wanted.add(record.peer)
+        if not self.knowledge.config.version:
+            wanted.update(self.seeds)
+        return wanted - {self.own.peer}
+
+    def _greet(self, member: MemberId) -> None:
+        """Tell a gateway that has just been reached all that is known."""
+        if not self.knowledge.config.version:
+            return
+        for topic in Topic:
+            self._links.send(member, self.knowledge.tell(topic))
+
+    def _receive(self, member: MemberId, message: Message) -> None:
+        match message:
+            case Hello(_, address):
+                self._welcome(member, address)
+            case Reading():
+                self._take_reading(member, message)
+            case ServerLoads(counts):
+                self.fleet.occupancy.learn(member, counts, self.clock())
+
+    def _welcome(self, member: MemberId, address: str) -> None:
+        known = {each.member for each in self.knowledge.members.values()}
+        if self._group is None or member in known:
+            return
+        if self.knowledge.config.version:
+            self._links.welcome(address, self._group)
+
+    def _take_reading(self, member: MemberId, reading: Reading) -> None:
+        known = self.knowledge.freshness[reading.topic].newest_s
+        if reading.store_s > known - LOOK_S:
+            self.readers.hear(member, self.clock())
+        self.take(reading)
+
+    def _send_loads(self) -> None:
+        self._links.send_all(ServerLoads(self.fleet.list_loads()))
+
+    async def _repeat(self) -> None:
+        while True:
+            await anyio.sleep(REPEAT_S)
+            self.fleet.occupancy.forget_silent(self.clock())
+            self._send_loads()
+
+    async def _leave_guests(self) -> None:
+        while True:
+            await anyio.sleep(GUEST_S)
+            self._links.dismiss()
--- a/ibisplank/gateway/_placing.py
+++ b/ibisplank/gateway/_placing.py
@@ -14,19 +14,31 @@
 FAULT_COST = 3.0
 #: Cost of a cold server, which works at about half its pace.
 COLD_COST = 0.8
-#: Servers that are compared for one call.
-CHOICES = 4
+#: Servers of other zones that are compared for one call.
+FAR_CHOICES = 3
+#: A server with more of its slots taken than this slows down.
+KNEE_SHARE = 0.8
+KNEE_COST = 0.7
+#: Cost of slots taken below that.
+IDLE_COST = 0.1
 #: Calls beyond its slots after which a server may drop what it can't queue.
 QUEUE_SHARE = 1.0
 
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A server that may get a call, with what is known of it."""
+    """A server that may get a call, with what is known of it.
+
+    Attributes
+    ----------
+    others : int
+        Calls that other gateways of the zone have in flight there.
+    """
 
     standing: Standing
     record: ServerRecord
     cold: bool
+    others: int = 0
 
     @property
     def server(self) -> ServerId:
@@ -39,9 +51,10 @@
     """Compares servers for one call.
 
     Load pattern: many gateways share servers of two or three slots, whose
-    pace changes within milliseconds, and know each other's calls only by
-    stale reports. A few servers drawn at random are compared by predicted
-    latency, so that gateways with the same picture don't choose alike.
+    pace changes within milliseconds. Those of one zone know each other's
+    calls and compare all servers of the zone by predicted latency. What
+    other zones send there is known by stale reports only, so a few far
+    servers are drawn at random, lest all choose the same.
 
     Attributes
     ----------
@@ -70,15 +83,16 @@
         if not open_ones:
             return None
         near = [each for each in open_ones if self._is_near(each)]
-        drawn = self._draw(near) + self._draw(open_ones)
+        far = [each for each in open_ones if not self._is_near(each)]
+        drawn = self._draw(near, len(near)) + self._draw(far, FAR_CHOICES)
         return min(drawn, key=lambda each: self.rate(each, now, once=once))
 
     def rate(self, candidate: Candidate, now: float, *, once: bool) -> float:
         """Return a predicted latency, relative to an idle near server's."""
         record = candidate.record
         slots = max(1, candidate.standing.entry.slots)
-        busy = record.find_busy(now)
-        cost = record.find_pace(now) * (1 + (busy / slots) ** 2)
+        busy = record.find_busy(now, candidate.others)
+        cost = record.find_pace(now) * self._find_slowdown(busy, slots)
         cost += record.find_faults(now) * FAULT_COST * (2 if once else 1)
         if not self._is_near(candidate):
             cost += FAR_COST
@@ -91,9 +105,15 @@
 
     def _has_room(self, candidate: Candidate, now: float) -> bool:
         slots = candidate.standing.entry.slots
-        return candidate.record.find_busy(now) < slots * (1 + QUEUE_SHARE)
-
-    def _draw(self, candidates: list[Candidate]) -> list[Candidate]:
-        if len(candidates) <= CHOICES:
-            return self.luck.sample(candidates, len(candidates))
-        return self.luck.sample(candidates, CHOICES)
+        busy = candidate.record.find_busy(now, candidate.others)
+        return busy < slots * (1 + QUEUE_SHARE)
+
+    def _find_slowdown(self, busy: float, slots: int) -> float:
+        """Return how much longer a further call takes than on an idle server."""
+        full = (busy + 1) / slots
+        queued = max(0.0, full - 1)
+        knee = KNEE_COST if full > KNEE_SHARE else 0.0
+        return 1 + knee + queued + IDLE_COST * busy / slots
+
+    def _draw(self, candidates: list[Candidate], most: int) -> list[Candidate]:
+        return self.luck.sample(candidates, min(most, len(candidates)))
--- a/ibisplank/gateway/_plan.py
+++ b/ibisplank/gateway/_plan.py
@@ -10,8 +10,8 @@
 WAIT_SHARE = 0.125
 #: A slow idempotent call gets a second attempt between these parts of its
 #: target, so that the second can still meet it.
-HEDGE_EARLIEST_SHARE = 0.4
-HEDGE_LATEST_SHARE = 0.55
+HEDGE_EARLIEST_SHARE = 0.5
+HEDGE_LATEST_SHARE = 0.6
 #: Sends beyond the attempts that ran, to servers that refused.
 EXTRA_SENDS = 3
 #: No attempt starts with less of the usual latency left than this.
@@ -229,7 +229,7 @@
     Examples
     --------
     >>> find_hedge_s(1.0, 0.1), find_hedge_s(1.0, 0.5), find_hedge_s(1.0, 3.0)
-    (0.4, 0.5, 0.55)
+    (0.5, 0.5, 0.6)
     """
     earliest = HEDGE_EARLIEST_SHARE * target_s
     return min(max(slow_s, earliest), HEDGE_LATEST_SHARE * target_s)
--- a/ibisplank/gateway/_record.py
+++ b/ibisplank/gateway/_record.py
@@ -93,13 +93,20 @@
         fade = 0.5 ** (max(0.0, now - self._fault_at) / FAULT_FADE_S)
         return self.faults * fade
 
-    def find_busy(self, now: float) -> float:
-        """Return the calls that are likely to run or wait there."""
+    def find_busy(self, now: float, others: int = 0) -> float:
+        """Return the calls that are likely to run or wait there.
+
+        Parameters
+        ----------
+        others : int
+            Calls of other gateways that are known to run there.
+        """
+        known = float(self.in_flight + others)
         if self.report is None:
-            return float(self.in_flight)
+            return known
         fade = 0.5 ** (max(0.0, now - self.report_at) / REPORT_FADE_S)
         reported = (self.report.running + self.report.waiting) * fade
-        return max(float(self.in_flight), reported)
+        return max(known, reported)
 
     def note_report(self, report: LoadReport | None, now: float) -> None:
         """Take in a load report."""
--- a/ibisplank/gateway/_rowset.py
+++ b/ibisplank/gateway/_rowset.py
@@ -24,9 +24,14 @@
         changed = [row for row in reading.rows if self._put(row)]
         if reading.whole:
             changed.extend(self._drop_unnamed(reading))
-        self.version = max(self.version, reading.version)
+        if self.follows(reading):
+            self.version = max(self.version, reading.version)
         return changed
 
+    def follows(self, reading: Reading) -> bool:
+        """Tell whether no change is missing between what is known and it."""
+        return reading.whole or reading.after <= self.version
+
     def list_rows(self) -> tuple[VersionedRow, ...]:
         """Return all rows, those that were dropped included."""
         return tuple(self._rows.values())
--- a/ibisplank/gateway/_watcher.py
+++ b/ibisplank/gateway/_watcher.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from types import MappingProxyType
 
 import anyio
 from loguru import logger
@@ -11,15 +12,22 @@
 from ibisplank.store import Reading, RowStore, Topic
 
 #: Longest wait for changes in one read, by topic.
-WAIT_S = {Topic.OPERATOR: 1.0, Topic.SERVERS: 1.0, Topic.MEMBERS: 5.0}
+WAIT_S = MappingProxyType(
+    {Topic.OPERATOR: 1.0, Topic.SERVERS: 1.0, Topic.MEMBERS: 5.0},
+)
+#: Age at which a gateway reads by itself, by topic. The strictest bound on
+#: a change is 2 s, and a read that fails takes up to `ANSWER_S`.
+STALE_S = MappingProxyType(
+    {Topic.OPERATOR: 1.25, Topic.SERVERS: 1.25, Topic.MEMBERS: 7.0},
+)
 #: Time for an answer beyond the wait.
 ANSWER_S = 0.4
-#: Shortest and longest pause after a failed read.
-PAUSE_S = (0.1, 0.3)
+#: Pause after a failed read; it doubles for gateways that don't read for
+#: others, up to `MAX_PAUSE_S`.
+PAUSE_S = 0.2
+MAX_PAUSE_S = 1.0
 #: How often a gateway that doesn't read looks at the age of its picture.
 LOOK_S = 0.1
-#: Age at which a gateway reads by itself, by topic.
-STALE_S = {Topic.OPERATOR: 1.25, Topic.SERVERS: 1.25, Topic.MEMBERS: 6.0}
 
 
 @dataclass(slots=True)
@@ -34,6 +42,8 @@
         Tells whether this gateway reads for others too.
     find_age : callable
         Age of what is known of the topic.
+    find_version : callable
+        Version up to which all changes of the topic are known.
     """
 
     topic: Topic
@@ -41,18 +51,18 @@
     take: Callable[[Reading], None]
     is_reader: Callable[[], bool]
     find_age: Callable[[], float]
+    find_version: Callable[[], int]
     luck: random.Random
-    after: int = 0
-    _whole: bool = False
+    _gone: bool = False
     _failures: int = 0
 
     async def run(self) -> None:
         """Read for ever."""
         while True:
-            if not self._must_read():
-                await anyio.sleep(LOOK_S)
-                continue
-            await self._read_once()
+            if self._must_read():
+                await self._read_once()
+            else:
+                await anyio.sleep(LOOK_S * self.luck.uniform(0.5, 1.5))
 
     def _must_read(self) -> bool:
         return self.is_reader() or self.find_age() > STALE_S[self.topic]
@@ -62,30 +72,37 @@
             reading = await self._read()
         except HistoryGone:
             logger.info('history of {} gone: list anew', self.topic.value)
-            self._whole = False
+            self._gone = True
             return
         except StoreError as error:
             self._note_failure(error)
-            await anyio.sleep(self.luck.uniform(*PAUSE_S))
+            await anyio.sleep(self._find_pause_s())
             return
         if self._failures:
             logger.info('store regained: {}', self.topic.value)
         self._failures = 0
-        self._whole = True
-        self.after = max(self.after, reading.version)
+        self._gone = False
         self.take(reading)
 
     async def _read(self) -> Reading:
-        if not self._whole:
+        after = self.find_version()
+        if self._gone or not after:
             return await self.store.list_rows(self.topic, ANSWER_S)
         wait_s = WAIT_S[self.topic]
         return await self.store.await_changes(
             self.topic,
-            self.after,
+            after,
             wait_s,
             wait_s + ANSWER_S,
         )
 
+    def _find_pause_s(self) -> float:
+        """Return a pause that few readers keep short and the rest stretch."""
+        pause_s = PAUSE_S
+        if not self.is_reader():
+            pause_s = min(MAX_PAUSE_S, PAUSE_S * 2**self._failures)
+        return pause_s * self.luck.uniform(0.75, 1.25)
+
     def _note_failure(self, error: StoreError) -> None:
         self._failures += 1
         if self._failures == 1:
--- a/ibisplank/platform/_store.py
+++ b/ibisplank/platform/_store.py
@@ -94,7 +94,7 @@
         if response.status == GONE:
             raise HistoryGone(topic.value)
         body = _decode(response)
-        return _make_reading(topic, body, body.rows, whole=False)
+        return _make_reading(topic, body, body.rows, whole=False, after=after)
 
     async def put_row(
         self,
@@ -189,6 +189,7 @@
     rows: list[RowBody],
     *,
     whole: bool,
+    after: int = 0,
 ) -> Reading:
     return Reading(
         topic,
@@ -196,6 +197,7 @@
         whole,
         body.row_version,
         body.now_s,
+        after,
     )
 
 
--- a/ibisplank/process/__init__.py
+++ b/ibisplank/process/__init__.py
@@ -22,6 +22,7 @@
 from ibisplank.process._holder import Holder, Slot
 from ibisplank.process._known import Known
 from ibisplank.process._ledger import Ledger
+from ibisplank.process._links import Links
 from ibisplank.process._logs import LogFormat, set_logs
 from ibisplank.process._loop import run_loop
 from ibisplank.process._membership import Membership
@@ -65,6 +66,7 @@
     'Known',
     'Lease',
     'Ledger',
+    'Links',
     'LogFormat',
     'Membership',
     'Metrics',
--- a/ibisplank/process/_links.py
+++ b/ibisplank/process/_links.py
@@ -47,6 +47,12 @@
             self._guests.add(address)
             self._start(address, group)
 
+    def dismiss(self) -> None:
+        """Leave the guests."""
+        for address in list(self._guests):
+            self._links.pop(address).close()
+        self._guests.clear()
+
     def send(self, member: MemberId, message: Message) -> None:
         """Queue a message for a member, if it is reached."""
         link = self._reached.get(member)
--- a/ibisplank/store/_rows.py
+++ b/ibisplank/store/_rows.py
@@ -35,13 +35,15 @@
     deleted: bool = False
 
 
-class Reading(msgspec.Struct, frozen=True, array_like=True):
+class Reading(msgspec.Struct, frozen=True, array_like=True, tag='rd'):
     """What a read of one table brought.
 
     Attributes
     ----------
     whole : bool
         Whether rows that it does not name do not exist.
+    after : int
+        Version from which on all changes are named, where not whole.
     version : int
         Newest version of the store at that moment.
     store_s : float
@@ -53,6 +55,7 @@
     whole: bool
     version: int
     store_s: float
+    after: int = 0
 
 
 class RowStore(Protocol):
@@ -137,7 +140,8 @@
         self._check()
         if after < self._oldest:
             raise HistoryGone(topic.value)
-        return self._read(topic, self._select(topic, after), whole=False)
+        rows = self._select(topic, after)
+        return self._read(topic, rows, whole=False, after=after)
 
     async def put_row(
         self,
@@ -166,6 +170,7 @@
         rows: Sequence[VersionedRow],
         *,
         whole: bool,
+        after: int = 0,
     ) -> Reading:
         now = anyio.current_time()
-        return Reading(topic, tuple(rows), whole, self._version, now)
+        return Reading(topic, tuple(rows), whole, self._version, now, after)
