--- a/ibisplank/connection/__init__.py
+++ b/ibisplank/connection/__init__.py
@@ -60,7 +60,7 @@
     Envelope,
     Message,
 )
-from ibisplank.connection._news import Ping, Pong, ServerLoads
+from ibisplank.connection._news import Ping, Pong, ServerLoads, ServerReport
 from ibisplank.connection._peer import LinkOwner, PeerLink, PeerServer
 from ibisplank.connection._tls import PeerTls, TlsFiles
 
@@ -107,6 +107,7 @@
     'Scope',
     'Send',
     'ServerLoads',
+    'ServerReport',
     'ServerNews',
     'SlotChoice',
     'SlotFreed',
--- a/ibisplank/connection/_news.py
+++ b/ibisplank/connection/_news.py
@@ -20,4 +20,37 @@
     counts: dict[ServerId, int]
 
 
-NewsMessage = Ping | Pong | ServerLoads | Reading
+class ServerReport(msgspec.Struct, frozen=True, array_like=True, tag='rp'):
+    """What a probe showed of a backend server.
+
+    Attributes
+    ----------
+    born_ms : int
+        Start of the server that the prober knew.
+    slots : int
+        Its slots, 0 where it doesn't tell its load.
+    pace : float
+        How long work takes there at this moment, 1 as usual.
+    cold_s : float
+        How much longer it stays cold by its own word.
+    reachable : bool
+        Whether it took a connection.
+    answers : bool
+        Whether it answered in time.
+    healthy : bool
+        Whether it says that it is well.
+    """
+
+    server: ServerId
+    born_ms: int
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    pace: float = 1.0
+    cold_s: float = 0.0
+    reachable: bool = True
+    answers: bool = True
+    healthy: bool = True
+
+
+NewsMessage = Ping | Pong | ServerLoads | ServerReport | Reading
--- a/ibisplank/gateway/_directory.py
+++ b/ibisplank/gateway/_directory.py
@@ -7,6 +7,8 @@
 
 #: Time by which a word of a server's warm-up may be late.
 WARMUP_MARGIN_S = 0.5
+#: For this long after a sign of a cold server, no word makes it warm.
+DOUBT_S = 0.5
 
 
 @dataclass(slots=True)
@@ -17,12 +19,15 @@
     ----------
     cold_until : float
         Time until which it bears only a few calls a second.
+    chilled_at : float
+        Time at which it was last taken to be cold.
     lapses_at : float or None
         Time at which it is dropped unless its entry comes back.
     """
 
     entry: ServerEntry
     cold_until: float = 0.0
+    chilled_at: float = 0.0
     lapses_at: float | None = None
 
 
@@ -49,8 +54,7 @@
         known.entry = entry
         known.lapses_at = None
         if entry.warmup_left_s > 0:
-            until = now + entry.warmup_left_s + WARMUP_MARGIN_S
-            known.cold_until = max(known.cold_until, until)
+            self._chill(known, now, entry.warmup_left_s + WARMUP_MARGIN_S)
         return started
 
     def drop(self, server: ServerId, now: float, grace_s: float) -> None:
@@ -69,7 +73,14 @@
             return
         self._standings.pop(server)
 
-    def move_zone(self, zone: ZoneId, now: float, cold_s: float, out: bool) -> None:
+    def move_zone(
+        self,
+        zone: ZoneId,
+        now: float,
+        cold_s: float,
+        *,
+        out: bool,
+    ) -> None:
         """Take a zone out of service, or bring it back with cold servers."""
         if out:
             self.zones_out.add(zone)
@@ -79,18 +90,20 @@
         self.zones_out.discard(zone)
         for standing in self._standings.values():
             if standing.entry.zone == zone:
-                self._chill(standing, now + cold_s)
+                self._chill(standing, now, cold_s)
 
-    def chill(self, server: ServerId, until: float) -> None:
-        """Treat a server as cold until a time."""
-        standing = self._standings.get(server)
-        if standing is not None:
-            self._chill(standing, until)
+    def note_warmup(self, server: ServerId, left_s: float, now: float) -> None:
+        """Take in a server's own word of how long it stays cold.
 
-    def warm(self, server: ServerId) -> None:
-        """Treat a server as warm, by its own word."""
+        A word that it is warm counts only a while after the last sign that
+        it is cold, which may be newer.
+        """
         standing = self._standings.get(server)
-        if standing is not None:
+        if standing is None:
+            return
+        if left_s > 0:
+            self._chill(standing, now, left_s)
+        elif now > standing.chilled_at + DOUBT_S:
             standing.cold_until = 0.0
 
     def find(self, server: ServerId) -> Standing | None:
@@ -105,6 +118,15 @@
             if standing.entry.service == service and self._may_use(standing, now)
         ]
 
+    def list_probed(self) -> list[Standing]:
+        """Return the servers that are worth probing."""
+        return [
+            standing
+            for standing in self._standings.values()
+            if standing.entry.zone not in self.zones_out
+            and not standing.entry.leaving
+        ]
+
     def list_all(self) -> list[Standing]:
         """Return all servers on record."""
         return list(self._standings.values())
@@ -116,5 +138,6 @@
             return False
         return standing.entry.zone not in self.zones_out
 
-    def _chill(self, standing: Standing, until: float) -> None:
-        standing.cold_until = max(standing.cold_until, until)
+    def _chill(self, standing: Standing, now: float, cold_s: float) -> None:
+        standing.cold_until = max(standing.cold_until, now + cold_s)
+        standing.chilled_at = now
--- a/ibisplank/gateway/_fleet.py
+++ b/ibisplank/gateway/_fleet.py
@@ -3,16 +3,18 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ibisplank.connection import Route
+from ibisplank.connection import Route, ServerReport
 from ibisplank.gateway._knowledge import Knowledge
 from ibisplank.gateway._occupancy import Occupancy
 from ibisplank.gateway._pacing import ColdPace, choose_pacer
 from ibisplank.gateway._placing import Candidate
-from ibisplank.gateway._record import ServerRecord
+from ibisplank.gateway._record import LoadReport, ServerRecord
 from ibisplank.ids import MemberId, ServerId, ServiceId
 
 #: Calls a second that a cold server bears where no service says more.
 DEFAULT_WARMUP_RATE = 1.0
+#: A probe's word holds this long, as only changes are told.
+HOLD_S = 0.6
 Key = tuple[ServerId, int]
 
 
@@ -60,7 +62,8 @@
             if cold and not self._may_pace(server, now):
                 continue
             others = self.occupancy.count(server, now)
-            candidates.append(Candidate(standing, record, cold, others))
+            pace = record.find_momentary_pace(now)
+            candidates.append(Candidate(standing, record, cold, others, pace))
         return candidates
 
     def find_record(self, server: ServerId, born_ms: int) -> ServerRecord:
@@ -90,6 +93,30 @@
             if record.in_flight
         }
 
+    def note_probe(self, report: ServerReport, now: float) -> None:
+        """Take in what a probe showed, whoever made it."""
+        standing = self.knowledge.directory.find(report.server)
+        if standing is None or standing.entry.born_ms != report.born_ms:
+            return
+        record = self.find_record(report.server, report.born_ms)
+        if not report.reachable:
+            record.note_unreachable(now)
+            return
+        if not report.answers:
+            record.note_silent_probe(now)
+            return
+        record.note_reached()
+        if report.slots:
+            load = LoadReport(
+                report.running,
+                report.waiting,
+                report.slots,
+                report.pace,
+            )
+            record.note_report(load, now, HOLD_S)
+        directory = self.knowledge.directory
+        directory.note_warmup(report.server, report.cold_s, now)
+
     def note_start(self, candidate: Candidate, now: float) -> None:
         """Take in that a call goes to a server."""
         candidate.record.in_flight += 1
--- a/ibisplank/gateway/_forwarder.py
+++ b/ibisplank/gateway/_forwarder.py
@@ -147,7 +147,7 @@
 
     def _note_unfinished(self, race: Race, chosen: Candidate, now: float) -> None:
         """Learn from how long an attempt has run, however it ended."""
-        waited_s = self._clock() - now
+        waited_s = (self._clock() - now) / chosen.pace
         chosen.record.note_slow(waited_s / race.plan.usual_s, self._clock())
 
     async def _exchange(self, race: Race, chosen: Candidate, now: float) -> None:
@@ -179,7 +179,8 @@
         match verdict:
             case Verdict.GOOD:
                 latency_s = now - sent_at
-                record.note_good(latency_s / race.plan.usual_s, now)
+                relative = latency_s / race.plan.usual_s / chosen.pace
+                record.note_good(relative, now)
                 self._find_usual(race.job.route).add(latency_s)
                 race.trail.append(f'{chosen.server}:{answer.status}')
                 race.plan.note_answer(answer, good=True)
--- a/ibisplank/gateway/_gateway.py
+++ b/ibisplank/gateway/_gateway.py
@@ -19,6 +19,7 @@
 from ibisplank.gateway._knowledge import Knowledge
 from ibisplank.gateway._mesh import Mesh
 from ibisplank.gateway._placing import Placer
+from ibisplank.gateway._prober import Prober
 from ibisplank.gateway._settings import EXIT_SHARE, GatewaySettings
 from ibisplank.gateway._watcher import Watcher
 from ibisplank.process import make_member, read_clock, split_address
@@ -92,6 +93,14 @@
             self._learn,
             read_clock,
         )
+        self._prober = Prober(
+            self.member,
+            self._fleet,
+            dialect,
+            read_clock,
+            self._mesh.list_alive,
+            self._mesh.send_report,
+        )
         self._stopping = False
         self._servers: list[HttpServer] = []
 
@@ -129,6 +138,7 @@
         group.start_soon(self._join)
         for topic in Topic:
             group.start_soon(self._make_watcher(topic).run)
+        group.start_soon(self._prober.run)
         group.start_soon(self._tidy)
 
     def _make_watcher(self, topic: Topic) -> Watcher:
--- a/ibisplank/gateway/_knowledge.py
+++ b/ibisplank/gateway/_knowledge.py
@@ -80,7 +80,7 @@
                 self._learn_config(config)
             case ZoneFact(zone, out):
                 cold_s = self._find_warmup_s()
-                self.directory.move_zone(zone, now, cold_s, out)
+                self.directory.move_zone(zone, now, cold_s, out=out)
                 logger.info('zone {} {}', zone, 'out' if out else 'back')
             case ServerFact():
                 self._learn_server(fact, now)
--- a/ibisplank/gateway/_mesh.py
+++ b/ibisplank/gateway/_mesh.py
@@ -7,7 +7,13 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 
-from ibisplank.connection import Hello, Message, PeerServer, ServerLoads
+from ibisplank.connection import (
+    Hello,
+    Message,
+    PeerServer,
+    ServerLoads,
+    ServerReport,
+)
 from ibisplank.gateway._facts import MemberRecord
 from ibisplank.gateway._fleet import Fleet
 from ibisplank.gateway._knowledge import Knowledge
@@ -79,6 +85,28 @@
         if self.is_reader():
             self._links.send_all(reading)
 
+    def send_report(self, report: ServerReport) -> None:
+        """Tell the zone what a probe showed."""
+        self._links.send_all(report)
+
+    def list_alive(self) -> list[MemberRecord]:
+        """Return the gateways that are not known to be gone."""
+        now = self.clock()
+        return [
+            self.own,
+            *(
+                record
+                for record in self.knowledge.members.values()
+                if record.member != self.own.member
+                and self._seems_alive(record, now)
+            ),
+        ]
+
+    def _seems_alive(self, record: MemberRecord, now: float) -> bool:
+        if record.zone != self.own.zone:
+            return True
+        return self.fleet.occupancy.is_heard(record.member, now)
+
     async def _follow_members(self, group: TaskGroup) -> None:
         while True:
             self._choose_readers()
@@ -118,6 +146,8 @@
                 self._take_reading(member, message)
             case ServerLoads(counts):
                 self.fleet.occupancy.learn(member, counts, self.clock())
+            case ServerReport():
+                self.fleet.note_probe(message, self.clock())
 
     def _welcome(self, member: MemberId, address: str) -> None:
         known = {each.member for each in self.knowledge.members.values()}
--- a/ibisplank/gateway/_occupancy.py
+++ b/ibisplank/gateway/_occupancy.py
@@ -48,6 +48,10 @@
             if self._heard_at[member] + FORGET_S > now
         )
 
+    def is_heard(self, member: MemberId, now: float) -> bool:
+        """Tell whether a gateway has spoken lately."""
+        return self._heard_at.get(member, -FORGET_S) + FORGET_S > now
+
     def forget_silent(self, now: float) -> None:
         """Drop the word of gateways that are gone."""
         for member, heard_at in list(self._heard_at.items()):
--- a/ibisplank/gateway/_placing.py
+++ b/ibisplank/gateway/_placing.py
@@ -33,12 +33,15 @@
     ----------
     others : int
         Calls that other gateways of the zone have in flight there.
+    pace : float
+        How long work takes there at this moment by its own word.
     """
 
     standing: Standing
     record: ServerRecord
     cold: bool
     others: int = 0
+    pace: float = 1.0
 
     @property
     def server(self) -> ServerId:
@@ -92,7 +95,8 @@
         record = candidate.record
         slots = max(1, candidate.standing.entry.slots)
         busy = record.find_busy(now, candidate.others)
-        cost = record.find_pace(now) * self._find_slowdown(busy, slots)
+        pace = record.find_pace(now) * candidate.pace
+        cost = pace * self._find_slowdown(busy, slots)
         cost += record.find_faults(now) * FAULT_COST * (2 if once else 1)
         if not self._is_near(candidate):
             cost += FAR_COST
--- /dev/null
+++ b/ibisplank/gateway/_prober.py
@@ -0,0 +1,186 @@
+"""Questions to backend servers for their load, warm-up and health."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from ibisplank.connection import Answer, Exchange, Route, ServerReport
+from ibisplank.errors import BackendError, ConnectFailed
+from ibisplank.gateway._dialect import Dialect, find_header
+from ibisplank.gateway._directory import Standing
+from ibisplank.gateway._facts import MemberRecord
+from ibisplank.gateway._fleet import Fleet
+from ibisplank.gateway._pacing import choose_pacer
+from ibisplank.gateway._record import parse_load
+from ibisplank.ids import MemberId, ServerId
+
+#: Pause between two probes of a server that answers at once. The pace of a
+#: server changes several times a second.
+PAUSE_S = 0.1
+#: Pause for servers that don't tell their load: a probe takes a slot there.
+SLOT_PAUSE_S = 1.0
+#: A probe without an answer for this long has failed.
+ANSWER_S = 0.3
+#: How often the probed servers are compared with the directory.
+LOOK_S = 0.25
+#: What has not changed is told again after this time.
+REPEAT_S = 0.5
+OK = 200
+
+
+def choose_prober(
+    standing: Standing,
+    members: Iterable[MemberRecord],
+) -> MemberId | None:
+    """Return the gateway that probes a server: one of its zone, if any."""
+    everyone = list(members)
+    near = [each for each in everyone if each.zone == standing.entry.zone]
+    chosen = [each.member for each in near or everyone]
+    return choose_pacer(standing.entry.server, chosen)
+
+
+@dataclass(slots=True)
+class Prober:
+    """Probes the servers that fall to this gateway, and tells its zone.
+
+    Load pattern: the machines of servers are shared with others, and their
+    pace changes fourfold for a few hundred milliseconds at a time. One
+    gateway of the zone asks each server and tells the rest only what has
+    changed, so that the cost does not grow with the gateways.
+
+    Parameters
+    ----------
+    list_members : callable
+        Gateways that are alive, this one included.
+    tell : callable
+        Passes a report on to the gateways of the zone.
+    """
+
+    member: MemberId
+    fleet: Fleet
+    dialect: Dialect
+    clock: Callable[[], float]
+    list_members: Callable[[], list[MemberRecord]]
+    tell: Callable[[ServerReport], None]
+    _scopes: dict[ServerId, anyio.CancelScope] = field(default_factory=dict)
+    _told: dict[ServerId, tuple[ServerReport, float]] = field(
+        default_factory=dict,
+    )
+
+    async def run(self) -> None:
+        """Probe for ever."""
+        async with anyio.create_task_group() as group:
+            while True:
+                self._assign(group)
+                await anyio.sleep(LOOK_S)
+
+    def _assign(self, group: TaskGroup) -> None:
+        members = self.list_members()
+        wanted = {
+            standing.entry.server: standing
+            for standing in self.fleet.knowledge.directory.list_probed()
+            if choose_prober(standing, members) == self.member
+        }
+        for server in set(self._scopes) - set(wanted):
+            self._scopes.pop(server).cancel()
+        for server in set(wanted) - set(self._scopes):
+            scope = anyio.CancelScope()
+            self._scopes[server] = scope
+            group.start_soon(self._watch, server, scope)
+
+    async def _watch(self, server: ServerId, scope: anyio.CancelScope) -> None:
+        route: Route | None = None
+        with scope:
+            while True:
+                standing = self.fleet.knowledge.directory.find(server)
+                if standing is None:
+                    return
+                entry = standing.entry
+                if route is None or route.address != entry.address:
+                    route = Route(entry.address, self.clock)
+                report = await self._probe(route, standing)
+                self._take(report)
+                tells = report.slots > 0 or not report.reachable
+                await anyio.sleep(PAUSE_S if tells else SLOT_PAUSE_S)
+
+    async def _probe(self, route: Route, standing: Standing) -> ServerReport:
+        entry = standing.entry
+        rules = self.fleet.knowledge.config.services.get(entry.service)
+        path = rules.health_path if rules else '/health'
+        exchange = Exchange(
+            b'GET',
+            path.encode(),
+            [(b'host', entry.address.encode())],
+            b'',
+            first_byte_s=ANSWER_S,
+            proven=False,
+            unsized=True,
+        )
+        try:
+            with anyio.fail_after(ANSWER_S):
+                answer = await route.exchange(exchange)
+        except ConnectFailed:
+            return ServerReport(entry.server, entry.born_ms, reachable=False)
+        except (BackendError, TimeoutError):
+            return ServerReport(entry.server, entry.born_ms, answers=False)
+        return self._read(standing, answer)
+
+    def _read(self, standing: Standing, answer: Answer) -> ServerReport:
+        entry = standing.entry
+        headers = list(answer.headers)
+        named = find_header(headers, self.dialect.server_id)
+        if named is not None and named != entry.server.encode():
+            return ServerReport(entry.server, entry.born_ms, reachable=False)
+        load = parse_load(find_header(headers, self.dialect.server_load))
+        cold_s = _parse_seconds(find_header(headers, self.dialect.warmup_left))
+        if load is None:
+            return ServerReport(entry.server, entry.born_ms, cold_s=cold_s)
+        return ServerReport(
+            entry.server,
+            entry.born_ms,
+            load.running,
+            load.waiting,
+            load.slots,
+            load.pace,
+            cold_s,
+            healthy=answer.status == OK,
+        )
+
+    def _take(self, report: ServerReport) -> None:
+        now = self.clock()
+        self.fleet.note_probe(report, now)
+        told, told_at = self._told.get(report.server, (None, 0.0))
+        if told is not None and now < told_at + REPEAT_S:
+            if not _differ(told, report):
+                return
+            logger.debug('server {} changed: {}', report.server, report)
+        self._told[report.server] = (report, now)
+        self.tell(report)
+
+
+def _differ(told: ServerReport, report: ServerReport) -> bool:
+    """Tell whether a change is worth a message."""
+    return (
+        told.pace != report.pace
+        or bool(told.cold_s) != bool(report.cold_s)
+        or told.reachable != report.reachable
+        or told.answers != report.answers
+        or told.waiting != report.waiting
+        or told.born_ms != report.born_ms
+    )
+
+
+def _parse_seconds(text: bytes | None) -> float:
+    """Return a time in seconds; what can't be read counts as none.
+
+    >>> _parse_seconds(b'1.5'), _parse_seconds(b'soon')
+    (1.5, 0.0)
+    """
+    try:
+        seconds = float(text or b'0')
+    except ValueError:
+        return 0.0
+    return seconds if 0 < seconds < float('inf') else 0.0
--- a/ibisplank/gateway/_record.py
+++ b/ibisplank/gateway/_record.py
@@ -1,7 +1,7 @@
 """What this gateway has seen of one backend server."""
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ibisplank.ids import ServerId
 
@@ -81,13 +81,18 @@
     report_at: float = 0.0
     _seen_at: float = 0.0
     _fault_at: float = 0.0
-    _past: set[str] = field(default_factory=set)
 
     def find_pace(self, now: float) -> float:
         """Return the pace, faded towards the usual with its age."""
         fade = 0.5 ** (max(0.0, now - self._seen_at) / FADE_S)
         return 1.0 + (self.pace - 1.0) * fade
 
+    def find_momentary_pace(self, now: float) -> float:
+        """Return the pace that the server states, 1 where it states none."""
+        if self.report is None:
+            return 1.0
+        return 1.0 + (self.report.pace - 1.0) * self._find_report_fade(now)
+
     def find_faults(self, now: float) -> float:
         """Return the share of failures, faded with its age."""
         fade = 0.5 ** (max(0.0, now - self._fault_at) / FAULT_FADE_S)
@@ -104,15 +109,20 @@
         known = float(self.in_flight + others)
         if self.report is None:
             return known
-        fade = 0.5 ** (max(0.0, now - self.report_at) / REPORT_FADE_S)
+        fade = self._find_report_fade(now)
         reported = (self.report.running + self.report.waiting) * fade
         return max(known, reported)
 
-    def note_report(self, report: LoadReport | None, now: float) -> None:
-        """Take in a load report."""
+    def note_report(
+        self,
+        report: LoadReport | None,
+        now: float,
+        hold_s: float = 0.0,
+    ) -> None:
+        """Take in a load report, which holds for a time before it fades."""
         if report is not None:
             self.report = report
-            self.report_at = now
+            self.report_at = now + hold_s
 
     def note_good(self, relative: float, now: float) -> None:
         """Take in a good answer.
@@ -142,9 +152,23 @@
         self.faults = faults + FAULT_SMOOTHING * (1.0 - faults)
         self._fault_at = now
 
+    def note_silent_probe(self, now: float) -> None:
+        """Take in that a probe got no answer, which the network may explain."""
+        self.strikes += 1
+        if self.strikes > 1:
+            self.note_unreachable(now)
+
+    def note_reached(self) -> None:
+        """Take in that a probe was answered."""
+        self.strikes = 0
+        self.rest_until = 0.0
+
     def note_unreachable(self, now: float) -> None:
         """Take in that it took no connection, or closed all."""
         self.note_fault(now)
         self.strikes += 1
         rest_s = min(MAX_REST_S, FIRST_REST_S * 2 ** (self.strikes - 1))
         self.rest_until = now + rest_s
+
+    def _find_report_fade(self, now: float) -> float:
+        return 0.5 ** (max(0.0, now - self.report_at) / REPORT_FADE_S)
