--- a/ibisplank/connection/_peer.py
+++ b/ibisplank/connection/_peer.py
@@ -8,7 +8,11 @@
 from grpclib.client import Channel, StreamStreamMethod
 from grpclib.const import Cardinality, Handler
 from grpclib.encoding.base import CodecBase
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+)
 from grpclib.server import Server, Stream
 
 from ibisplank.connection._control import Hello
@@ -161,7 +165,7 @@
         method = StreamStreamMethod(channel, METHOD, Envelope, Envelope)
         try:
             await self._exchange(method)
-        except* (OSError, GRPCError, StreamTerminatedError):
+        except* (OSError, GRPCError, ProtocolError, StreamTerminatedError):
             self._failures += 1
         finally:
             if self._up:
--- a/ibisplank/gateway/_gateway.py
+++ b/ibisplank/gateway/_gateway.py
@@ -29,7 +29,6 @@
 JOIN_PAUSE_S = (0.3, 0.8)
 #: After this, readiness has reached the platform's balancer.
 LINGER_S = 2.6
-DRAIN_POLL_S = 0.05
 TIDY_S = 1.0
 OK = 200
 UNAVAILABLE = 503
@@ -227,6 +226,6 @@
         logger.info('gateway {} drains', self.member)
         with anyio.move_on_after(self._settings.grace_s * EXIT_SHARE):
             await anyio.sleep(LINGER_S)
-            while self._front.in_flight:
-                await anyio.sleep(DRAIN_POLL_S)
+            for server in self._servers:
+                await server.shutdown()
         logger.info('{} calls left', self._front.in_flight)
