--- a/ibisplank/cli/gateway.py
+++ b/ibisplank/cli/gateway.py
@@ -5,7 +5,12 @@
 
 import click
 
-from ibisplank.cli._shared import Program, log_option, report_errors, version_option
+from ibisplank.cli._shared import (
+    Program,
+    log_option,
+    report_errors,
+    version_option,
+)
 from ibisplank.gateway import Gateway, Platform
 from ibisplank.platform import (
     DIALECT,
--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -28,6 +28,8 @@
 #: A server closes idle connections no sooner; earlier means a restart.
 SIGN_S = 2.0
 CONNECT_TIMEOUT_S = 0.25
+FIRST_SUCCESS = 200
+FIRST_REDIRECT = 300
 NO_BODY_STATUSES = frozenset((204, 304))
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -188,7 +190,7 @@
             if text != content:
                 raise AlienAnswer('the answer names another request')
             return
-    if 200 <= response.status < 300:
+    if FIRST_SUCCESS <= response.status < FIRST_REDIRECT:
         raise AlienAnswer('the answer names no request')
 
 
--- a/ibisplank/connection/_peer.py
+++ b/ibisplank/connection/_peer.py
@@ -30,6 +30,9 @@
 #: A stream without a sign of life for this long is given up.
 SILENCE_S = 2.2
 
+#: How a stream ends that was not closed here.
+STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
+
 Receiver = Callable[[MemberId, Message], None]
 
 
@@ -90,12 +93,11 @@
         await stream.send_message(Envelope((Hello(self._member),)))
         peer: MemberId | None = None
         async for envelope in stream:
+            if Ping() in envelope.messages:
+                await stream.send_message(Envelope((Pong(),)))
             for message in envelope.messages:
                 if isinstance(message, Hello):
                     peer = message.member
-                if isinstance(message, Ping):
-                    await stream.send_message(Envelope((Pong(),)))
-                    continue
                 if peer is not None:
                     self._receive(peer, message)
 
@@ -165,7 +167,7 @@
         method = StreamStreamMethod(channel, METHOD, Envelope, Envelope)
         try:
             await self._exchange(method)
-        except* (OSError, GRPCError, ProtocolError, StreamTerminatedError):
+        except* STREAM_ERRORS:
             self._failures += 1
         finally:
             if self._up:
--- a/ibisplank/gateway/_budget.py
+++ b/ibisplank/gateway/_budget.py
@@ -1,4 +1,4 @@
-"""This VM's share of the retries that a service may get in a window."""
+"""Share of the retries of a service that one gateway may send."""
 
 from collections import deque
 from dataclasses import dataclass, field
--- a/ibisplank/gateway/_directory.py
+++ b/ibisplank/gateway/_directory.py
@@ -115,7 +115,8 @@
         return [
             standing
             for standing in self._standings.values()
-            if standing.entry.service == service and self._may_use(standing, now)
+            if standing.entry.service == service
+            and self._may_use(standing, now)
         ]
 
     def list_probed(self) -> list[Standing]:
--- a/ibisplank/gateway/_fleet.py
+++ b/ibisplank/gateway/_fleet.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from ibisplank.connection import Route, ServerReport
+from ibisplank.gateway._directory import Standing
 from ibisplank.gateway._knowledge import Knowledge
 from ibisplank.gateway._occupancy import Occupancy
 from ibisplank.gateway._pacing import ColdPace, choose_pacer
@@ -52,18 +53,11 @@
         """Return the servers that may get a call of a service now."""
         candidates = []
         for standing in self.knowledge.directory.list_usable(service, now):
-            server = standing.entry.server
-            if server in tried:
+            if standing.entry.server in tried:
                 continue
-            record = self.find_record(server, standing.entry.born_ms)
-            if record.rest_until > now:
-                continue
-            cold = standing.cold_until > now
-            if cold and not self._may_pace(server, now):
-                continue
-            others = self.occupancy.count(server, now)
-            pace = record.find_momentary_pace(now)
-            candidates.append(Candidate(standing, record, cold, others, pace))
+            candidate = self._make_candidate(standing, now)
+            if candidate is not None:
+                candidates.append(candidate)
         return candidates
 
     def find_record(self, server: ServerId, born_ms: int) -> ServerRecord:
@@ -128,14 +122,6 @@
         candidate.record.in_flight -= 1
         self.notify()
 
-    def _note_paced(self, candidate: Candidate, now: float) -> None:
-        if not candidate.cold:
-            return
-        service = candidate.standing.entry.service
-        rules = self.knowledge.config.services.get(service)
-        rate = rules.warmup_rate if rules else DEFAULT_WARMUP_RATE
-        self.pace.note_sent(candidate.server, now, rate)
-
     async def forget_gone(self) -> None:
         """Drop records and connections of servers that have left."""
         known = {
@@ -154,9 +140,36 @@
         return len(known | {self.member})
 
     def _may_pace(self, server: ServerId, now: float) -> bool:
-        members = [
-            record.member for record in self.knowledge.members.values()
-        ]
+        members = [record.member for record in self.knowledge.members.values()]
         if choose_pacer(server, members) != self.member:
             return False
         return self.pace.may_send(server, now)
+
+    def _make_candidate(
+        self,
+        standing: Standing,
+        now: float,
+    ) -> Candidate | None:
+        """Return a server with what is known of it, None while it rests."""
+        server = standing.entry.server
+        record = self.find_record(server, standing.entry.born_ms)
+        if record.rest_until > now:
+            return None
+        cold = standing.cold_until > now
+        if cold and not self._may_pace(server, now):
+            return None
+        return Candidate(
+            standing,
+            record,
+            cold,
+            self.occupancy.count(server, now),
+            record.find_momentary_pace(now),
+        )
+
+    def _note_paced(self, candidate: Candidate, now: float) -> None:
+        if not candidate.cold:
+            return
+        service = candidate.standing.entry.service
+        rules = self.knowledge.config.services.get(service)
+        rate = rules.warmup_rate if rules else DEFAULT_WARMUP_RATE
+        self.pace.note_sent(candidate.server, now, rate)
--- a/ibisplank/gateway/_forwarder.py
+++ b/ibisplank/gateway/_forwarder.py
@@ -145,16 +145,22 @@
             self._note_unfinished(race, chosen, now)
             race.wake()
 
-    def _note_unfinished(self, race: Race, chosen: Candidate, now: float) -> None:
+    def _note_unfinished(
+        self, race: Race, chosen: Candidate, now: float
+    ) -> None:
         """Learn from how long an attempt has run, however it ended."""
         waited_s = (self._clock() - now) / chosen.pace
         chosen.record.note_slow(waited_s / race.plan.usual_s, self._clock())
 
-    async def _exchange(self, race: Race, chosen: Candidate, now: float) -> None:
+    async def _exchange(
+        self, race: Race, chosen: Candidate, now: float
+    ) -> None:
         left_s = race.job.final_at - now
         route = self._fleet.find_route(chosen)
         try:
-            answer = await route.exchange(self._make_exchange(race, chosen, left_s))
+            answer = await route.exchange(
+                self._make_exchange(race, chosen, left_s)
+            )
         except ConnectFailed as error:
             chosen.record.note_unreachable(self._clock())
             self._end(race, chosen, Outcome.UNSENT, str(error))
--- a/ibisplank/gateway/_gateway.py
+++ b/ibisplank/gateway/_gateway.py
@@ -1,5 +1,6 @@
 """The gateway daemon: one process a VM, in front of all backend servers."""
 
+import math
 import random
 import signal
 from collections.abc import Callable
@@ -9,9 +10,16 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 
-from ibisplank.connection import HttpServer, Receive, Scope, Send, answer, make_server
-from ibisplank.gateway._dialect import Dialect
+from ibisplank.connection import (
+    HttpServer,
+    Receive,
+    Scope,
+    Send,
+    answer,
+    make_server,
+)
 from ibisplank.errors import SettingError, StoreError
+from ibisplank.gateway._dialect import Dialect
 from ibisplank.gateway._facts import Decoder, MemberRecord
 from ibisplank.gateway._fleet import Fleet
 from ibisplank.gateway._forwarder import Forwarder
@@ -182,9 +190,9 @@
             return
 
     def _adopt_limits(self) -> None:
-        limits = self.knowledge.config.limits
+        idle_s = self.knowledge.config.limits.idle_timeout_s
         for server in self._servers:
-            server.config.timeout_keep_alive = limits.idle_timeout_s
+            server.config.timeout_keep_alive = math.ceil(idle_s)
 
     async def _tidy(self) -> None:
         while True:
--- a/ibisplank/gateway/_job.py
+++ b/ibisplank/gateway/_job.py
@@ -3,11 +3,16 @@
 from dataclasses import dataclass
 
 from ibisplank.connection import Scope
-from ibisplank.gateway._dialect import Dialect, Headers
+from ibisplank.gateway._dialect import Dialect, Headers, find_header
 from ibisplank.gateway._model import CallerLimits, RouteTerms
 from ibisplank.gateway._routing import RouteTable
 
 MS_PER_S = 1000.0
+BAD_REQUEST = 400
+NOT_FOUND = 404
+HEADERS_TOO_LARGE = 431
+#: Bytes of a header line beside its name and content.
+LINE_BYTES = 4
 #: Headers that concern one connection only.
 HOP_HEADERS = frozenset(
     (
@@ -71,22 +76,9 @@
 
 def parse_head(scope: Scope, dialect: Dialect) -> Head:
     """Return what the head of a call states."""
-    request_id = b''
-    deadline_s = None
-    host = b''
-    size = 0
-    forwarded: Headers = []
-    dropped = _list_dropped(scope['headers'], dialect)
-    for name, text in scope['headers']:
-        size += len(name) + len(text) + 4
-        if name == dialect.request_id:
-            request_id = text
-        if name == dialect.deadline_ms:
-            deadline_s = _parse_ms(text)
-        if name == b'host':
-            host = text
-        if name not in dropped:
-            forwarded.append((name, text))
+    headers = scope['headers']
+    host = find_header(headers, b'host') or b''
+    dropped = _list_dropped(headers, dialect)
     raw = scope['raw_path']
     query = scope['query_string']
     return Head(
@@ -94,10 +86,10 @@
         target=raw + b'?' + query if query else raw,
         host=host.decode('latin-1').lower().partition(':')[0],
         path=raw.decode('latin-1'),
-        request_id=request_id,
-        deadline_s=deadline_s,
-        forwarded=forwarded,
-        size=size + len(raw) + len(query),
+        request_id=find_header(headers, dialect.request_id) or b'',
+        deadline_s=_parse_ms(find_header(headers, dialect.deadline_ms)),
+        forwarded=[pair for pair in headers if pair[0] not in dropped],
+        size=len(raw) + len(query) + _measure(headers),
     )
 
 
@@ -108,12 +100,12 @@
 ) -> RouteTerms | Rejection:
     """Return the route of a call, or why there is none."""
     if head.size > limits.header_bytes:
-        return Rejection(431, 'headers too large')
+        return Rejection(HEADERS_TOO_LARGE, 'headers too large')
     if not head.request_id:
-        return Rejection(400, 'no request id')
+        return Rejection(BAD_REQUEST, 'no request id')
     route = routes.find(head.host, head.path)
     if route is None:
-        return Rejection(404, 'no route')
+        return Rejection(NOT_FOUND, 'no route')
     return route
 
 
@@ -134,9 +126,13 @@
     return dropped
 
 
-def _parse_ms(text: bytes) -> float | None:
+def _measure(headers: Headers) -> int:
+    return sum(len(name) + len(text) + LINE_BYTES for name, text in headers)
+
+
+def _parse_ms(text: bytes | None) -> float | None:
     try:
-        wait_ms = float(text)
+        wait_ms = float(text or b'nan')
     except ValueError:
         return None
     return wait_ms / MS_PER_S if 0 <= wait_ms < float('inf') else None
--- a/ibisplank/gateway/_knowledge.py
+++ b/ibisplank/gateway/_knowledge.py
@@ -84,10 +84,10 @@
                 logger.info('zone {} {}', zone, 'out' if out else 'back')
             case ServerFact():
                 self._learn_server(fact, now)
-            case MemberFact(vm, None):
-                self.members.pop(vm, None)
-            case MemberFact(vm, record):
+            case MemberFact(vm, MemberRecord() as record):
                 self.members[vm] = record
+            case MemberFact(vm):
+                self.members.pop(vm, None)
             case Unreadable(key, reason, server):
                 logger.warning('row {} left out: {}', key, reason)
                 if server is not None:
--- a/ibisplank/gateway/_mesh.py
+++ b/ibisplank/gateway/_mesh.py
@@ -32,7 +32,7 @@
 
 @dataclass(slots=True)
 class Mesh:
-    """This gateway's part in the exchange.
+    """Part of one gateway in the exchange.
 
     Parameters
     ----------
--- a/ibisplank/gateway/_pacing.py
+++ b/ibisplank/gateway/_pacing.py
@@ -8,6 +8,8 @@
 
 #: Rate at which the pacing gateway sends, of that which the server bears.
 PACE_SHARE = 0.9
+#: Calls a second to a server that is said to bear none.
+LEAST_RATE = 0.01
 
 
 def choose_pacer(
@@ -54,4 +56,4 @@
         rate : float
             Calls a second that the server bears.
         """
-        self._next_at[server] = now + 1 / max(rate * PACE_SHARE, 0.01)
+        self._next_at[server] = now + 1 / max(rate * PACE_SHARE, LEAST_RATE)
--- a/ibisplank/gateway/_placing.py
+++ b/ibisplank/gateway/_placing.py
@@ -12,6 +12,7 @@
 FAR_COST = 0.15
 #: Cost of a certain failure; a call that may run once only pays double.
 FAULT_COST = 3.0
+ONCE_FAULT_COST = 6.0
 #: Cost of a cold server, which works at about half its pace.
 COLD_COST = 0.8
 #: Servers of other zones that are compared for one call.
@@ -97,7 +98,8 @@
         busy = record.find_busy(now, candidate.others)
         pace = record.find_pace(now) * candidate.pace
         cost = pace * self._find_slowdown(busy, slots)
-        cost += record.find_faults(now) * FAULT_COST * (2 if once else 1)
+        fault_cost = ONCE_FAULT_COST if once else FAULT_COST
+        cost += record.find_faults(now) * fault_cost
         if not self._is_near(candidate):
             cost += FAR_COST
         if candidate.cold:
@@ -113,7 +115,7 @@
         return busy < slots * (1 + QUEUE_SHARE)
 
     def _find_slowdown(self, busy: float, slots: int) -> float:
-        """Return how much longer a further call takes than on an idle server."""
+        """Return how much longer a call takes than on an idle server."""
         full = (busy + 1) / slots
         queued = max(0.0, full - 1)
         knee = KNEE_COST if full > KNEE_SHARE else 0.0
--- a/ibisplank/gateway/_prober.py
+++ b/ibisplank/gateway/_prober.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 from loguru import logger
 
@@ -163,14 +164,12 @@
 
 def _differ(told: ServerReport, report: ServerReport) -> bool:
     """Tell whether a change is worth a message."""
-    return (
-        told.pace != report.pace
-        or bool(told.cold_s) != bool(report.cold_s)
-        or told.reachable != report.reachable
-        or told.answers != report.answers
-        or told.waiting != report.waiting
-        or told.born_ms != report.born_ms
-    )
+    return _summarize(told) != _summarize(report)
+
+
+def _summarize(report: ServerReport) -> ServerReport:
+    cold_s = float(report.cold_s > 0)
+    return msgspec.structs.replace(report, running=0, cold_s=cold_s)
 
 
 def _parse_seconds(text: bytes | None) -> float:
--- a/ibisplank/gateway/_record.py
+++ b/ibisplank/gateway/_record.py
@@ -14,6 +14,8 @@
 FAULT_FADE_S = 4.0
 #: A load report is worth half after this time.
 REPORT_FADE_S = 0.25
+#: No server is taken to work faster than this.
+LEAST_PACE = 0.01
 FIRST_REST_S = 0.3
 MAX_REST_S = 3.0
 
@@ -52,7 +54,7 @@
         return None
     pace = figures[3] / 100 if len(figures) > 3 else 1.0
     running, waiting, slots = (int(figure) for figure in figures[:3])
-    return LoadReport(running, waiting, slots, max(pace, 0.01))
+    return LoadReport(running, waiting, slots, max(pace, LEAST_PACE))
 
 
 @dataclass(slots=True)
@@ -84,7 +86,7 @@
 
     def find_pace(self, now: float) -> float:
         """Return the pace, faded towards the usual with its age."""
-        fade = 0.5 ** (max(0.0, now - self._seen_at) / FADE_S)
+        fade = _fade(now - self._seen_at, FADE_S)
         return 1.0 + (self.pace - 1.0) * fade
 
     def find_momentary_pace(self, now: float) -> float:
@@ -95,7 +97,7 @@
 
     def find_faults(self, now: float) -> float:
         """Return the share of failures, faded with its age."""
-        fade = 0.5 ** (max(0.0, now - self._fault_at) / FAULT_FADE_S)
+        fade = _fade(now - self._fault_at, FAULT_FADE_S)
         return self.faults * fade
 
     def find_busy(self, now: float, others: int = 0) -> float:
@@ -171,4 +173,13 @@
         self.rest_until = now + rest_s
 
     def _find_report_fade(self, now: float) -> float:
-        return 0.5 ** (max(0.0, now - self.report_at) / REPORT_FADE_S)
+        return _fade(now - self.report_at, REPORT_FADE_S)
+
+
+def _fade(age_s: float, half_s: float) -> float:
+    """Return what is left of a word of some age.
+
+    >>> _fade(-1.0, 2.0), _fade(2.0, 2.0)
+    (1.0, 0.5)
+    """
+    return math.exp2(-max(0.0, age_s) / half_s)
--- a/ibisplank/gateway/_watcher.py
+++ b/ibisplank/gateway/_watcher.py
@@ -28,6 +28,8 @@
 MAX_PAUSE_S = 1.0
 #: How often a gateway that doesn't read looks at the age of its picture.
 LOOK_S = 0.1
+#: Pauses are spread between these shares, so that gateways differ.
+SPREAD = (0.75, 1.25)
 
 
 @dataclass(slots=True)
@@ -62,7 +64,7 @@
             if self._must_read():
                 await self._read_once()
             else:
-                await anyio.sleep(LOOK_S * self.luck.uniform(0.5, 1.5))
+                await anyio.sleep(LOOK_S * self.luck.uniform(*SPREAD))
 
     def _must_read(self) -> bool:
         return self.is_reader() or self.find_age() > STALE_S[self.topic]
@@ -101,7 +103,7 @@
         pause_s = PAUSE_S
         if not self.is_reader():
             pause_s = min(MAX_PAUSE_S, PAUSE_S * 2**self._failures)
-        return pause_s * self.luck.uniform(0.75, 1.25)
+        return pause_s * self.luck.uniform(*SPREAD)
 
     def _note_failure(self, error: StoreError) -> None:
         self._failures += 1
--- a/ibisplank/platform/_decode.py
+++ b/ibisplank/platform/_decode.py
@@ -5,6 +5,7 @@
 """
 
 import re
+from types import MappingProxyType
 
 import msgspec
 
@@ -32,8 +33,10 @@
 
 _VERSION = re.compile('r([0-9]{1,18})')
 _ADDRESS = re.compile(r'(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})')
-_STATES = {'ready': False, 'draining': True}
-_KINDS = {'idempotent': Repeat.IDEMPOTENT, 'non_idempotent': Repeat.ONCE}
+_STATES = MappingProxyType({'ready': False, 'draining': True})
+_KINDS = MappingProxyType(
+    {'idempotent': Repeat.IDEMPOTENT, 'non_idempotent': Repeat.ONCE},
+)
 
 
 class SplitBody(msgspec.Struct):
--- a/ibisplank/platform/_settings.py
+++ b/ibisplank/platform/_settings.py
@@ -69,7 +69,7 @@
 class SettingsFile(msgspec.Struct):
     """The whole file; fields that are not named here are ignored."""
 
-    self: SelfTable
+    own: SelfTable = msgspec.field(name='self')
     network: NetworkTable
     provider: ProviderTable
     timers: TimersTable
@@ -112,7 +112,7 @@
         whole = msgspec.toml.decode(document, type=SettingsFile)
     except (msgspec.DecodeError, ValueError) as error:
         raise SettingError(f'settings: {error}; correct that field') from error
-    own = whole.self
+    own = whole.own
     listen = whole.network.listen_addrs
     bounds = whole.timers.bounds
     return GatewaySettings(
--- a/ibisplank/platform/_store.py
+++ b/ibisplank/platform/_store.py
@@ -2,6 +2,7 @@
 
 import base64
 from collections.abc import Mapping
+from types import MappingProxyType
 from urllib.parse import urlencode
 
 import anyio
@@ -26,11 +27,20 @@
 #: Times that a table is listed anew because it changed between pages.
 LISTINGS = 3
 
-_TABLES = {
-    Topic.OPERATOR: OPERATOR_TABLE,
-    Topic.SERVERS: SERVER_TABLE,
-    Topic.MEMBERS: MEMBER_TABLE,
-}
+NOT_CONNECTED = (httpcore.ConnectError, httpcore.ConnectTimeout)
+CALL_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    TimeoutError,
+)
+_TABLES = MappingProxyType(
+    {
+        Topic.OPERATOR: OPERATOR_TABLE,
+        Topic.SERVERS: SERVER_TABLE,
+        Topic.MEMBERS: MEMBER_TABLE,
+    },
+)
 
 
 class RowBody(msgspec.Struct, rename='camel'):
@@ -115,12 +125,10 @@
         )
         try:
             response = await self._call('POST', '/rows-tx', body, timeout_s)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+        except NOT_CONNECTED as error:
             raise StoreDown(repr(error)) from error
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+        except CALL_ERRORS as error:
             raise OutcomeUnknown(repr(error)) from error
-        except (httpcore.TimeoutException, TimeoutError) as error:
-            raise OutcomeUnknown('no answer in time') from error
         if response.status != OK:
             raise StoreDown(f'answer {response.status}')
 
@@ -151,10 +159,8 @@
         target = f'{path}?{urlencode(query)}'
         try:
             return await self._call('GET', target, b'', timeout_s)
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+        except CALL_ERRORS as error:
             raise StoreDown(repr(error)) from error
-        except (httpcore.TimeoutException, TimeoutError) as error:
-            raise StoreDown('no answer in time') from error
 
     async def _call(
         self,
@@ -204,5 +210,3 @@
 def _make_row(row: RowBody) -> VersionedRow:
     content = b'' if row.deleted else base64.b64decode(row.value)
     return VersionedRow(row.key, content, row.row_version, row.deleted)
-
-
