--- a/ibisplank/cli/gateway.py
+++ b/ibisplank/cli/gateway.py
@@ -7,7 +7,6 @@
 
 from ibisplank.cli._shared import (
     Program,
-    log_option,
     report_errors,
     version_option,
 )
@@ -19,7 +18,7 @@
     encode_member,
     read_settings,
 )
-from ibisplank.process import LogFormat, run_loop, set_logs
+from ibisplank.process import run_loop, set_structured_logs
 
 EXAMPLE = """
 \b
@@ -39,13 +38,12 @@
     envvar='IBISPLANK_SETTINGS',
     help="The platform's settings file; its own variable names it too.",
 )
-@log_option
 @version_option
 @report_errors
-def main(settings: Path | None, log_format: str) -> None:
+def main(settings: Path | None) -> None:
     """Answer callers from backend servers, as the platform's store says."""
     chosen = read_settings(settings)
-    set_logs(LogFormat(log_format), 'gateway')
+    lines = set_structured_logs('gateway')
     platform = Platform(
         HttpRows(chosen.store),
         decode_row,
@@ -53,7 +51,7 @@
         DIALECT,
         functools.partial(read_settings, settings),
     )
-    run_loop(_run, Gateway(chosen, platform))
+    run_loop(_run, Gateway(chosen, platform, lines))
 
 
 if __name__ == '__main__':
--- a/ibisplank/gateway/_forwarder.py
+++ b/ibisplank/gateway/_forwarder.py
@@ -6,7 +6,6 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from loguru import logger
 
 from ibisplank.connection import Answer, Exchange
 from ibisplank.errors import AttemptUnknown, ConnectFailed
@@ -14,6 +13,7 @@
 from ibisplank.gateway._dialect import Dialect, Headers, find_header
 from ibisplank.gateway._fleet import Fleet
 from ibisplank.gateway._job import MS_PER_S, Job
+from ibisplank.gateway._metrics import GatewayMetrics
 from ibisplank.gateway._model import RouteName, RouteTerms
 from ibisplank.gateway._placing import Candidate, Placer
 from ibisplank.gateway._plan import (
@@ -29,7 +29,7 @@
 from ibisplank.gateway._routing import Splitter
 from ibisplank.gateway._verdict import Verdict, judge_answer
 from ibisplank.ids import ServerId, ServiceId
-from ibisplank.process import Average
+from ibisplank.process import Average, log_event
 
 #: Part of a route's target that its calls are taken to last at first.
 FIRST_USUAL_SHARE = 0.4
@@ -71,12 +71,14 @@
         placer: Placer,
         dialect: Dialect,
         retry: RetryTerms,
+        metrics: GatewayMetrics,
         clock: Callable[[], float],
     ) -> None:
         self._fleet = fleet
         self._placer = placer
         self._dialect = dialect
         self._retry = retry
+        self._metrics = metrics
         self._clock = clock
         self._splitter = Splitter()
         self._luck: random.Random = placer.luck
@@ -128,6 +130,7 @@
         if action.again and not self._pay(race.service, action, now):
             return race.plan.deny(now, room=True)
         race.tried.add(chosen.server)
+        self._note_step(race, chosen, 'sent', chosen.describe(now))
         race.plan.note_start(now)
         self._fleet.note_start(chosen, now)
         race.group.start_soon(self._attempt, race, chosen, now)
@@ -188,11 +191,11 @@
                 relative = latency_s / race.plan.usual_s / chosen.pace
                 record.note_good(relative, now)
                 self._find_usual(race.job.route).add(latency_s)
-                race.trail.append(f'{chosen.server}:{answer.status}')
+                self._note_step(race, chosen, 'answered', str(answer.status))
                 race.plan.note_answer(answer, good=True)
             case Verdict.FAILURE:
                 record.note_fault(now)
-                race.trail.append(f'{chosen.server}:{answer.status}')
+                self._note_step(race, chosen, 'failed', str(answer.status))
                 race.plan.note_answer(answer, good=False)
             case Verdict.REFUSED:
                 record.note_fault(now)
@@ -211,9 +214,23 @@
         outcome: Outcome,
         reason: str,
     ) -> None:
-        race.trail.append(f'{chosen.server}:{outcome.value} ({reason})')
+        self._note_step(race, chosen, outcome.value, reason)
         race.plan.note_outcome(outcome)
 
+    def _note_step(
+        self,
+        race: Race,
+        chosen: Candidate,
+        step: str,
+        reason: str = '',
+    ) -> None:
+        """Keep what an attempt showed for the call's log line."""
+        self._metrics.note_attempt(race.service, step)
+        at_s = self._clock() - race.job.arrived_at
+        race.trail.append(
+            f'{at_s:.3f} {chosen.server} {step} {reason}'.rstrip(),
+        )
+
     def _make_exchange(
         self,
         race: Race,
@@ -271,18 +288,22 @@
     def _log(self, race: Race, ending: Conclude) -> None:
         job = race.job
         now = self._clock()
+        knowledge = self._fleet.knowledge
+        took_s = now - job.arrived_at
+        self._metrics.note_call(job.route.name, race.service, ending, took_s)
         status = ending.answer.status if ending.answer else ending.ending.value
-        logger.info(
-            'call {} route={} service={} config={} age={:.2f} '
-            'took={:.3f} of {:.3f} usual={:.3f} trail={} ends={}',
-            job.head.request_id.decode('latin-1'),
-            job.route.name,
-            race.service,
-            self._fleet.knowledge.config.version,
-            self._fleet.knowledge.find_age(now),
-            now - job.arrived_at,
-            job.final_at - job.arrived_at,
-            race.plan.usual_s,
-            race.trail,
-            status,
+        log_event(
+            'call',
+            id=job.head.request_id.decode('latin-1'),
+            route=job.route.name,
+            service=race.service,
+            config=knowledge.config.version,
+            age=round(knowledge.find_age(now), 3),
+            took=round(took_s, 4),
+            allowed=round(job.final_at - job.arrived_at, 4),
+            usual=round(race.plan.usual_s, 4),
+            hedge=round(race.plan.hedge_s, 4),
+            trail=race.trail,
+            ends=status,
+            retry_after=round(ending.retry_after_s, 3),
         )
--- a/ibisplank/gateway/_front.py
+++ b/ibisplank/gateway/_front.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 
 import anyio
-from loguru import logger
 
 from ibisplank.connection import Receive, Scope, Send, answer, read_body
 from ibisplank.gateway._dialect import Dialect, Headers
@@ -18,6 +17,7 @@
 )
 from ibisplank.gateway._knowledge import Knowledge
 from ibisplank.gateway._plan import Conclude, Ending
+from ibisplank.process import log_event
 
 OK = 200
 NOT_FOUND = 404
@@ -67,7 +67,7 @@
         try:
             await self._serve(scope, receive, send)
         except ConnectionResetError:
-            logger.info('caller left before its call was read')
+            log_event('caller left before its call was read')
         finally:
             self.in_flight -= 1
 
@@ -107,7 +107,8 @@
         """Refuse for now what an old picture doesn't allow."""
         age_s = self._knowledge.find_age(self._clock())
         if rejection.status == NOT_FOUND and age_s > STALE_S:
-            return Rejection(UNAVAILABLE, f'no route, picture {age_s:.1f} old')
+            reason = f'{rejection.reason}, picture {age_s:.1f} s old'
+            return Rejection(UNAVAILABLE, reason, rejection.request_id)
         return rejection
 
     async def _cancel_when_left(
@@ -121,7 +122,7 @@
             message = await receive()
             if message['type'] == 'http.disconnect':
                 break
-        logger.info('call {} left', job.head.request_id.decode('latin-1'))
+        log_event('caller left', id=job.head.request_id.decode('latin-1'))
         group.cancel_scope.cancel()
 
     async def _reject(
@@ -130,12 +131,14 @@
         scope: Scope,
         rejection: Rejection,
     ) -> None:
-        logger.info(
-            'rejected {} {}: {} {}',
-            scope['method'],
-            scope['path'],
-            rejection.status,
-            rejection.reason,
+        log_event(
+            'rejected',
+            id=rejection.request_id,
+            method=scope['method'],
+            path=scope['path'],
+            status=rejection.status,
+            reason=rejection.reason,
+            config=self._knowledge.config.version,
         )
         retry_s = EARLY_RETRY_S if rejection.status == UNAVAILABLE else 0.0
         await self._send_own(send, rejection.status, retry_s)
--- a/ibisplank/gateway/_gateway.py
+++ b/ibisplank/gateway/_gateway.py
@@ -8,7 +8,6 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from loguru import logger
 
 from ibisplank.connection import (
     HttpServer,
@@ -26,11 +25,18 @@
 from ibisplank.gateway._front import Front
 from ibisplank.gateway._knowledge import Knowledge
 from ibisplank.gateway._mesh import Mesh
+from ibisplank.gateway._metrics import GatewayMetrics
 from ibisplank.gateway._placing import Placer
 from ibisplank.gateway._prober import Prober
 from ibisplank.gateway._settings import EXIT_SHARE, GatewaySettings
 from ibisplank.gateway._watcher import Watcher
-from ibisplank.process import make_member, read_clock, split_address
+from ibisplank.process import (
+    LogLines,
+    log_event,
+    make_member,
+    read_clock,
+    split_address,
+)
 from ibisplank.store import Reading, RowStore, Topic
 
 JOIN_ANSWER_S = 0.5
@@ -68,9 +74,12 @@
         self,
         settings: GatewaySettings,
         platform: Platform,
+        lines: LogLines,
     ) -> None:
         self.member = make_member(settings.vm)
         self._settings = settings
+        self._lines = lines
+        self._metrics = GatewayMetrics()
         self._platform = platform
         self._store = platform.store
         dialect = platform.dialect
@@ -83,6 +92,7 @@
             Placer(settings.zone, luck),
             dialect,
             settings.retry,
+            self._metrics,
             read_clock,
         )
         self._front = Front(
@@ -117,20 +127,27 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then let calls in flight finish."""
-        logger.info('gateway {} starts', self.member)
+        log_event(
+            'start',
+            member=self.member,
+            zone=self._settings.zone,
+            callers=self._settings.callers,
+        )
         async with anyio.create_task_group() as group:
             await self._listen()
             self._start_tasks(group)
             await self._await_signals()
             await self._drain()
             group.cancel_scope.cancel()
-        logger.info('gateway {} stopped', self.member)
+        log_event('stop', member=self.member)
+        self._lines.flush()
 
     async def _listen(self) -> None:
         """Open the addresses of callers and of the balancer."""
         addresses = (
             (self._settings.callers, self._front),
             (self._settings.readiness, self._answer_readiness),
+            (self._settings.metrics, self._answer_metrics),
         )
         for address, app in addresses:
             host, port = split_address(address, 'address')
@@ -141,6 +158,7 @@
             self._servers.append(server)
 
     def _start_tasks(self, group: TaskGroup) -> None:
+        group.start_soon(self._lines.run)
         group.start_soon(self._mesh.run)
         group.start_soon(self._join)
         for topic in Topic:
@@ -159,6 +177,7 @@
             lambda: freshness.find_age(read_clock()),
             lambda: rows.version,
             self._luck,
+            self._metrics.note_event,
         )
 
     def _take(self, reading: Reading) -> None:
@@ -183,10 +202,10 @@
                     JOIN_ANSWER_S,
                 )
             except StoreError as error:
-                logger.warning('row of this gateway not written: {}', error)
+                log_event('own row not written', error=str(error))
                 await anyio.sleep(self._luck.uniform(*JOIN_PAUSE_S))
                 continue
-            logger.info('joined as {}', self.member)
+            log_event('joined', member=self.member)
             return
 
     def _adopt_limits(self) -> None:
@@ -207,6 +226,36 @@
     ) -> None:
         await answer(send, OK if self.is_ready() else UNAVAILABLE, b'')
 
+    async def _answer_metrics(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        self._show_gauges()
+        await answer(send, OK, self._metrics.render())
+
+    def _show_gauges(self) -> None:
+        now = read_clock()
+        knowledge = self.knowledge
+        loads = self._fleet.list_loads()
+        shown = (
+            ('config_version', 'Config in force', knowledge.config.version),
+            (
+                'picture_age_seconds',
+                'Age of the picture',
+                knowledge.find_age(now),
+            ),
+            ('members', 'Gateways known', len(knowledge.members)),
+            ('servers', 'Servers known', len(knowledge.directory.list_all())),
+            ('reader', 'Whether it reads for others', self._mesh.is_reader()),
+            ('calls_in_flight', 'Calls unanswered', self._front.in_flight),
+            ('attempts_in_flight', 'Attempts running', sum(loads.values())),
+            ('log_lines_dropped', 'Log lines dropped', self._lines.dropped),
+        )
+        for name, help_text, amount in shown:
+            self._metrics.show(name, help_text, float(amount))
+
     async def _await_signals(self) -> None:
         """Return at the signal to stop; the settings are read again before."""
         watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -221,19 +270,19 @@
         try:
             settings = self._platform.reload()
         except SettingError as error:
-            logger.error('settings kept as they were: {}', error)
+            log_event('settings kept as they were', error=str(error))
             return
         self._settings = settings
         self._forwarder.learn_retry(settings.retry)
-        logger.info('settings read again')
+        log_event('settings read again')
 
     async def _drain(self) -> None:
         """Leave the balancer's rotation, then let all calls finish."""
         self._stopping = True
         self._front.closing = True
-        logger.info('gateway {} drains', self.member)
+        log_event('drain', in_flight=self._front.in_flight)
         with anyio.move_on_after(self._settings.grace_s * EXIT_SHARE):
             await anyio.sleep(LINGER_S)
             for server in self._servers:
                 await server.shutdown()
-        logger.info('{} calls left', self._front.in_flight)
+        log_event('drained', in_flight=self._front.in_flight)
--- a/ibisplank/gateway/_job.py
+++ b/ibisplank/gateway/_job.py
@@ -61,6 +61,7 @@
 
     status: int
     reason: str
+    request_id: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,13 +100,14 @@
     limits: CallerLimits,
 ) -> RouteTerms | Rejection:
     """Return the route of a call, or why there is none."""
+    name = head.request_id.decode('latin-1')
     if head.size > limits.header_bytes:
-        return Rejection(HEADERS_TOO_LARGE, 'headers too large')
+        return Rejection(HEADERS_TOO_LARGE, 'headers too large', name)
     if not head.request_id:
         return Rejection(BAD_REQUEST, 'no request id')
     route = routes.find(head.host, head.path)
     if route is None:
-        return Rejection(NOT_FOUND, 'no route')
+        return Rejection(NOT_FOUND, f'no route for {head.host}', name)
     return route
 
 
--- a/ibisplank/gateway/_knowledge.py
+++ b/ibisplank/gateway/_knowledge.py
@@ -2,8 +2,6 @@
 
 from dataclasses import dataclass, field
 
-from loguru import logger
-
 from ibisplank.gateway._directory import Directory
 from ibisplank.gateway._facts import (
     ConfigFact,
@@ -19,6 +17,7 @@
 from ibisplank.gateway._model import RoutingConfig
 from ibisplank.gateway._routing import RouteTable
 from ibisplank.gateway._rowset import RowSet
+from ibisplank.process import log_event
 from ibisplank.store import Reading, Topic, VersionedRow
 
 #: Time for which a zone's servers count as cold where no service says more.
@@ -81,7 +80,7 @@
             case ZoneFact(zone, out):
                 cold_s = self._find_warmup_s()
                 self.directory.move_zone(zone, now, cold_s, out=out)
-                logger.info('zone {} {}', zone, 'out' if out else 'back')
+                log_event('zone moved', zone=zone, out=out)
             case ServerFact():
                 self._learn_server(fact, now)
             case MemberFact(vm, MemberRecord() as record):
@@ -89,38 +88,39 @@
             case MemberFact(vm):
                 self.members.pop(vm, None)
             case Unreadable(key, reason, server):
-                logger.warning('row {} left out: {}', key, reason)
+                log_event('row left out', key=key, reason=reason)
                 if server is not None:
                     self.directory.drop(server, now, grace_s=0.0)
 
     def _learn_config(self, config: RoutingConfig) -> None:
         if config.version <= self.config.version:
-            logger.warning(
-                'config {} is not newer than {}: left out',
-                config.version,
-                self.config.version,
+            log_event(
+                'older config left out',
+                version=config.version,
+                in_force=self.config.version,
             )
             return
         self.config = config
         self.routes = RouteTable(config)
-        logger.info('config {} in force', config.version)
+        log_event('config in force', version=config.version)
 
     def _learn_server(self, fact: ServerFact, now: float) -> None:
         entry = fact.entry
         if entry is None:
             grace_s = self.freshness[Topic.SERVERS].find_grace(now)
             self.directory.drop(fact.server, now, grace_s)
-            logger.info('server {} dropped, grace {}', fact.server, grace_s)
+            log_event('server dropped', server=fact.server, grace_s=grace_s)
             return
         started = self.directory.learn(entry, now)
-        logger.info(
-            'server {} of {} at {} started={} leaving={} warmup_left_s={}',
-            entry.server,
-            entry.service,
-            entry.address,
-            started,
-            entry.leaving,
-            entry.warmup_left_s,
+        log_event(
+            'server learnt',
+            server=entry.server,
+            service=entry.service,
+            address=entry.address,
+            zone=entry.zone,
+            started=started,
+            leaving=entry.leaving,
+            warmup_left_s=entry.warmup_left_s,
         )
 
     def _find_warmup_s(self) -> float:
--- a/ibisplank/gateway/_mesh.py
+++ b/ibisplank/gateway/_mesh.py
@@ -5,7 +5,6 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from loguru import logger
 
 from ibisplank.connection import (
     Hello,
@@ -19,7 +18,7 @@
 from ibisplank.gateway._knowledge import Knowledge
 from ibisplank.gateway._readers import Readers
 from ibisplank.ids import MemberId
-from ibisplank.process import Links
+from ibisplank.process import Links, log_event
 from ibisplank.store import Reading, Topic
 
 #: How often the streams are compared with the members.
@@ -118,7 +117,7 @@
         unique = {each.member: each for each in members.values()}
         chosen = self.readers.choose(unique.values(), self.clock())
         if chosen != self._reading:
-            logger.info('readers are {}', sorted(chosen))
+            log_event('readers chosen', readers=sorted(chosen))
         self._reading = chosen
 
     def _list_wanted(self) -> set[str]:
--- a/ibisplank/gateway/_placing.py
+++ b/ibisplank/gateway/_placing.py
@@ -49,6 +49,15 @@
         """Id of the server."""
         return self.standing.entry.server
 
+    def describe(self, now: float) -> str:
+        """Return what decides about it, for the log."""
+        busy = self.record.find_busy(now, self.others)
+        return (
+            f'busy={busy:.1f} others={self.others} pace={self.pace:.1f} '
+            f'own_pace={self.record.find_pace(now):.1f} '
+            f'faults={self.record.find_faults(now):.2f} cold={self.cold}'
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Placer:
--- a/ibisplank/gateway/_prober.py
+++ b/ibisplank/gateway/_prober.py
@@ -6,7 +6,6 @@
 import anyio
 import msgspec
 from anyio.abc import TaskGroup
-from loguru import logger
 
 from ibisplank.connection import Answer, Exchange, Route, ServerReport
 from ibisplank.errors import BackendError, ConnectFailed
@@ -17,6 +16,7 @@
 from ibisplank.gateway._pacing import choose_pacer
 from ibisplank.gateway._record import parse_load
 from ibisplank.ids import MemberId, ServerId
+from ibisplank.process import log_event
 
 #: Pause between two probes of a server that answers at once. The pace of a
 #: server changes several times a second.
@@ -157,7 +157,8 @@
         if told is not None and now < told_at + REPEAT_S:
             if not _differ(told, report):
                 return
-            logger.debug('server {} changed: {}', report.server, report)
+        if told is None or _is_sound(told) != _is_sound(report):
+            log_event('server probed', **msgspec.structs.asdict(report))
         self._told[report.server] = (report, now)
         self.tell(report)
 
@@ -167,6 +168,12 @@
     return _summarize(told) != _summarize(report)
 
 
+def _is_sound(report: ServerReport) -> tuple[bool, bool]:
+    """Tell whether a server can be used, and whether it is cold."""
+    usable = report.reachable and report.answers and report.healthy
+    return usable, report.cold_s > 0
+
+
 def _summarize(report: ServerReport) -> ServerReport:
     cold_s = float(report.cold_s > 0)
     return msgspec.structs.replace(report, running=0, cold_s=cold_s)
--- a/ibisplank/gateway/_watcher.py
+++ b/ibisplank/gateway/_watcher.py
@@ -6,9 +6,9 @@
 from types import MappingProxyType
 
 import anyio
-from loguru import logger
 
 from ibisplank.errors import HistoryGone, StoreError
+from ibisplank.process import log_event
 from ibisplank.store import Reading, RowStore, Topic
 
 #: Longest wait for changes in one read, by topic.
@@ -46,6 +46,8 @@
         Age of what is known of the topic.
     find_version : callable
         Version up to which all changes of the topic are known.
+    count : callable
+        Counts an event by name.
     """
 
     topic: Topic
@@ -55,6 +57,7 @@
     find_age: Callable[[], float]
     find_version: Callable[[], int]
     luck: random.Random
+    count: Callable[[str], None]
     _gone: bool = False
     _failures: int = 0
 
@@ -70,10 +73,11 @@
         return self.is_reader() or self.find_age() > STALE_S[self.topic]
 
     async def _read_once(self) -> None:
+        self.count(f'store read {self.topic.value}')
         try:
             reading = await self._read()
         except HistoryGone:
-            logger.info('history of {} gone: list anew', self.topic.value)
+            log_event('history gone', topic=self.topic.value)
             self._gone = True
             return
         except StoreError as error:
@@ -81,7 +85,7 @@
             await anyio.sleep(self._find_pause_s())
             return
         if self._failures:
-            logger.info('store regained: {}', self.topic.value)
+            log_event('store regained', topic=self.topic.value)
         self._failures = 0
         self._gone = False
         self.take(reading)
@@ -107,5 +111,6 @@
 
     def _note_failure(self, error: StoreError) -> None:
         self._failures += 1
+        self.count('store read failed')
         if self._failures == 1:
-            logger.warning('store lost: {} {}', self.topic.value, error)
+            log_event('store lost', topic=self.topic.value, error=str(error))
--- a/ibisplank/process/__init__.py
+++ b/ibisplank/process/__init__.py
@@ -22,8 +22,9 @@
 from ibisplank.process._holder import Holder, Slot
 from ibisplank.process._known import Known
 from ibisplank.process._ledger import Ledger
+from ibisplank.process._lines import LineLimit, LogLines, log_event
 from ibisplank.process._links import Links
-from ibisplank.process._logs import LogFormat, set_logs
+from ibisplank.process._logs import LogFormat, set_logs, set_structured_logs
 from ibisplank.process._loop import run_loop
 from ibisplank.process._membership import Membership
 from ibisplank.process._metrics import Metrics
@@ -66,8 +67,10 @@
     'Known',
     'Lease',
     'Ledger',
+    'LineLimit',
     'Links',
     'LogFormat',
+    'LogLines',
     'Membership',
     'Metrics',
     'Need',
@@ -86,10 +89,12 @@
     'Want',
     'Watch',
     'divide',
+    'log_event',
     'make_member',
     'make_token',
     'read_clock',
     'run_loop',
     'set_logs',
+    'set_structured_logs',
     'split_address',
 )
--- a/ibisplank/process/_logs.py
+++ b/ibisplank/process/_logs.py
@@ -1,10 +1,13 @@
 """Structured logs by `loguru`: a line for each change of state."""
 
 import sys
+import time
 from enum import Enum
 
 from loguru import logger
 
+from ibisplank.process._lines import LogLines
+
 
 class LogFormat(Enum):
     """How log lines are written."""
@@ -13,6 +16,18 @@
     JSON = 'json'
 
 
+def set_structured_logs(program: str) -> LogLines:
+    """Send log lines as JSON to standard output, and return what waits.
+
+    The caller runs the lines' own task, and flushes them at its end.
+    """
+    lines = LogLines(sys.stdout.fileno(), time.monotonic)
+    logger.remove()
+    logger.configure(extra={'program': program})
+    logger.add(lines.add, format='{message}', level='INFO')
+    return lines
+
+
 def set_logs(log_format: LogFormat, program: str) -> None:
     """Send log lines to standard error.
 
