Tell probes to all zones, and take the median for usual

Cause: half of the calls went to other zones, where 25 to 30 of 100 met a server at a quarter of its pace against 3 to 5 of 100 near by; and mean and deviation of a route's latency had followed the slow calls (usual 0.22 s for 0.12 s of work), so that few second attempts started in time.

--- a/ibisplank/gateway/_fleet.py
+++ b/ibisplank/gateway/_fleet.py
@@ -93,23 +93,9 @@
         if standing is None or standing.entry.born_ms != report.born_ms:
             return
         record = self.find_record(report.server, report.born_ms)
-        if not report.reachable:
-            record.note_unreachable(now)
-            return
-        if not report.answers:
-            record.note_silent_probe(now)
-            return
-        record.note_reached()
-        if report.slots:
-            load = LoadReport(
-                report.running,
-                report.waiting,
-                report.slots,
-                report.pace,
-            )
-            record.note_report(load, now, HOLD_S)
-        directory = self.knowledge.directory
-        directory.note_warmup(report.server, report.cold_s, now)
+        self._note_condition(record, report, now)
+        for watch in list(record.watchers):
+            watch()
 
     def note_start(self, candidate: Candidate, now: float) -> None:
         """Take in that a call goes to a server."""
@@ -173,3 +159,28 @@
         rules = self.knowledge.config.services.get(service)
         rate = rules.warmup_rate if rules else DEFAULT_WARMUP_RATE
         self.pace.note_sent(candidate.server, now, rate)
+
+    def _note_condition(
+        self,
+        record: ServerRecord,
+        report: ServerReport,
+        now: float,
+    ) -> None:
+        if not report.reachable:
+            record.note_unreachable(now)
+            return
+        if not report.answers:
+            record.note_silent_probe(now)
+            return
+        record.note_reached()
+        directory = self.knowledge.directory
+        directory.note_warmup(report.server, report.cold_s, now)
+        if not report.slots:
+            return
+        load = LoadReport(
+            report.running,
+            report.waiting,
+            report.slots,
+            report.pace,
+        )
+        record.note_report(load, now, HOLD_S)
--- a/ibisplank/gateway/_forwarder.py
+++ b/ibisplank/gateway/_forwarder.py
@@ -1,5 +1,6 @@
 """Attempts of one call on backend servers, until its final answer."""
 
+import functools
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -13,6 +14,7 @@
 from ibisplank.gateway._dialect import Dialect, Headers, find_header
 from ibisplank.gateway._fleet import Fleet
 from ibisplank.gateway._job import MS_PER_S, Job
+from ibisplank.gateway._latency import UsualLatency
 from ibisplank.gateway._metrics import GatewayMetrics
 from ibisplank.gateway._model import RouteName, RouteTerms
 from ibisplank.gateway._placing import Candidate, Placer
@@ -23,18 +25,17 @@
     CallPlan,
     Conclude,
     Outcome,
-    find_hedge_s,
 )
 from ibisplank.gateway._record import parse_load
 from ibisplank.gateway._routing import Splitter
 from ibisplank.gateway._verdict import Verdict, judge_answer
 from ibisplank.ids import ServerId, ServiceId
-from ibisplank.process import Average, log_event
+from ibisplank.process import log_event
 
 #: Part of a route's target that its calls are taken to last at first.
 FIRST_USUAL_SHARE = 0.4
-#: A latency so many deviations above the mean counts as slow.
-SLOW_DEVIATIONS = 4.0
+#: A server that has slowed down this much may have done so before the call.
+SUSPICIOUS_FACTOR = 2.0
 #: A server's time limit is told this much shorter than the caller's.
 DEADLINE_MARGIN_S = 0.005
 
@@ -83,7 +84,7 @@
         self._splitter = Splitter()
         self._luck: random.Random = placer.luck
         self._shares: dict[ServiceId, RetryShare] = {}
-        self._usual: dict[RouteName, Average] = {}
+        self._usual: dict[RouteName, UsualLatency] = {}
         self._waiting: set[Race] = set()
 
     def learn_retry(self, retry: RetryTerms) -> None:
@@ -141,11 +142,32 @@
         return share.spend(now, self._fleet.count_members(), action.reserve)
 
     async def _attempt(self, race: Race, chosen: Candidate, now: float) -> None:
+        watch = functools.partial(self._suspect, race, chosen)
+        chosen.record.watchers.add(watch)
         try:
             await self._exchange(race, chosen, now)
         finally:
-            self._fleet.note_end(chosen)
-            self._note_unfinished(race, chosen, now)
+            self._note_over(race, chosen, watch, now)
+
+    def _note_over(
+        self,
+        race: Race,
+        chosen: Candidate,
+        watch: Callable[[], None],
+        now: float,
+    ) -> None:
+        chosen.record.watchers.discard(watch)
+        self._fleet.note_end(chosen)
+        self._note_unfinished(race, chosen, now)
+        race.wake()
+
+    def _suspect(self, race: Race, chosen: Candidate) -> None:
+        """Take in a probe of the server that an attempt runs on."""
+        now = self._clock()
+        pace = chosen.record.find_momentary_pace(now)
+        resting = chosen.record.rest_until > now
+        if resting or pace > SUSPICIOUS_FACTOR * chosen.pace:
+            race.plan.suspect(now)
             race.wake()
 
     def _note_unfinished(
@@ -266,15 +288,14 @@
             route,
             job.arrived_at,
             job.final_at,
-            usual.mean_s,
-            find_hedge_s(route.target_s, usual.bound_s(SLOW_DEVIATIONS)),
+            usual.median_s,
+            usual.slow_s,
         )
 
-    def _find_usual(self, route: RouteTerms) -> Average:
+    def _find_usual(self, route: RouteTerms) -> UsualLatency:
         usual = self._usual.get(route.name)
         if usual is None:
-            usual = Average()
-            usual.add(FIRST_USUAL_SHARE * route.target_s)
+            usual = UsualLatency(FIRST_USUAL_SHARE * route.target_s)
             self._usual[route.name] = usual
         return usual
 
@@ -302,7 +323,7 @@
             took=round(took_s, 4),
             allowed=round(job.final_at - job.arrived_at, 4),
             usual=round(race.plan.usual_s, 4),
-            hedge=round(race.plan.hedge_s, 4),
+            slow=round(race.plan.slow_s, 4),
             trail=race.trail,
             ends=status,
             retry_after=round(ending.retry_after_s, 3),
--- a/ibisplank/gateway/_mesh.py
+++ b/ibisplank/gateway/_mesh.py
@@ -1,4 +1,4 @@
-"""Streams between gateways: readings for all, loads within a zone."""
+"""Streams between gateways: readings, probes, and loads within a zone."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -21,6 +21,9 @@
 from ibisplank.process import Links, log_event
 from ibisplank.store import Reading, Topic
 
+#: Up to so many gateways tell each other of servers in all zones. Where
+#: there are more, each zone has servers enough of its own.
+MESH_LIMIT = 24
 #: How often the streams are compared with the members.
 LOOK_S = 0.5
 #: How often a gateway repeats what it has in flight.
@@ -85,7 +88,7 @@
             self._links.send_all(reading)
 
     def send_report(self, report: ServerReport) -> None:
-        """Tell the zone what a probe showed."""
+        """Tell the gateways that are reached what a probe showed."""
         self._links.send_all(report)
 
     def list_alive(self) -> list[MemberRecord]:
@@ -122,10 +125,13 @@
 
     def _list_wanted(self) -> set[str]:
         """Return the peers that this gateway has something to tell."""
-        wanted = set()
-        for record in self.knowledge.members.values():
-            if record.zone == self.own.zone or self.is_reader():
-                wanted.add(record.peer)
+        members = self.knowledge.members.values()
+        reaches_all = self.is_reader() or len(members) <= MESH_LIMIT
+        wanted = {
+            record.peer
+            for record in members
+            if reaches_all or record.zone == self.own.zone
+        }
         if not self.knowledge.config.version:
             wanted.update(self.seeds)
         return wanted - {self.own.peer}
@@ -162,7 +168,10 @@
         self.take(reading)
 
     def _send_loads(self) -> None:
-        self._links.send_all(ServerLoads(self.fleet.list_loads()))
+        loads = ServerLoads(self.fleet.list_loads())
+        for record in self.knowledge.members.values():
+            if record.zone == self.own.zone:
+                self._links.send(record.member, loads)
 
     async def _repeat(self) -> None:
         while True:
--- a/ibisplank/gateway/_plan.py
+++ b/ibisplank/gateway/_plan.py
@@ -8,16 +8,20 @@
 
 #: Part of its target for which a call waits until a server has room.
 WAIT_SHARE = 0.125
-#: A slow idempotent call gets a second attempt between these parts of its
-#: target, so that the second can still meet it.
-HEDGE_EARLIEST_SHARE = 0.5
-HEDGE_LATEST_SHARE = 0.6
+#: A second attempt that could still meet the target starts by now, with so
+#: many times the usual latency left.
+HEDGE_ROOM = 1.1
+#: A call that nothing can bring in by its target is tried elsewhere after so
+#: many times the usual latency, while as many are left.
+RESCUE_WAIT = 3.0
+RESCUE_ROOM = 1.5
 #: Sends beyond the attempts that ran, to servers that refused.
 EXTRA_SENDS = 3
 #: No attempt starts with less of the usual latency left than this.
 LEAST_LATENCY_SHARE = 0.5
-#: Retries kept back for failed attempts while slow ones are hedged.
-HEDGE_RESERVE = 1.0
+#: Retries kept back for failed attempts and for calls on servers that have
+#: just slowed down, while others that last long are hedged.
+HEDGE_RESERVE = 2.0
 #: Refused callers return after this part of their target at the earliest.
 RETURN_SHARE = 0.25
 
@@ -104,21 +108,22 @@
         Time by which the caller gets its answer.
     usual_s : float
         What such calls take.
-    hedge_s : float
-        Time after which an attempt counts as slow.
+    slow_s : float
+        Latency that few good answers exceed.
     """
 
     route: RouteTerms
     arrived_at: float
     final_at: float
     usual_s: float
-    hedge_s: float
+    slow_s: float
     running: int = 0
     sends: int = 0
     ran: int = 0
     _answer: Answer | None = None
     _spare: Answer | None = None
     _started_at: float = 0.0
+    _suspected_at: float = 0.0
     _starved: bool = False
 
     def decide(self, now: float) -> Action:
@@ -139,6 +144,11 @@
         self.sends += 1
         self._started_at = now
 
+    def suspect(self, now: float) -> None:
+        """Take in that the server of an attempt has slowed down or failed."""
+        if not self._suspected_at:
+            self._suspected_at = now
+
     def note_outcome(self, outcome: Outcome) -> None:
         """Take in that an attempt ended without an answer."""
         self.running -= 1
@@ -177,19 +187,35 @@
 
     def _watch(self, now: float) -> Action:
         """Return the next step while an attempt runs."""
-        hedge_at = self._started_at + self.hedge_s
+        hedge_at = self._find_hedge_at()
         if not self._may_hedge(hedge_at):
             return Await(self.final_at)
         if now < hedge_at:
             return Await(min(hedge_at, self.final_at))
-        return Attempt(again=True, reserve=HEDGE_RESERVE)
+        reserve = 0.0 if self._suspected_at else HEDGE_RESERVE
+        return Attempt(again=True, reserve=reserve)
+
+    def _find_hedge_at(self) -> float:
+        """Return when a second attempt should start beside the first.
+
+        It should still meet the target; where that is too early to tell a
+        slow call from a usual one, it waits until the call is surely slow.
+        """
+        latest = self.arrived_at + self.route.target_s
+        latest -= HEDGE_ROOM * self.usual_s
+        if self._suspected_at and self._suspected_at <= latest:
+            return self._suspected_at
+        slow_at = self._started_at + self.slow_s
+        if slow_at <= latest:
+            return slow_at
+        return self._started_at + max(self.slow_s, RESCUE_WAIT * self.usual_s)
 
     def _may_hedge(self, hedge_at: float) -> bool:
         if self._starved or not self.route.idempotent or self.running > 1:
             return False
         if self.ran + self.running >= self.route.max_attempts:
             return False
-        return self.final_at - hedge_at > LEAST_LATENCY_SHARE * self.usual_s
+        return self.final_at - hedge_at > RESCUE_ROOM * self.usual_s
 
     def _is_spent(self, now: float) -> bool:
         """Tell whether no further attempt may be or is worth being made."""
@@ -216,20 +242,3 @@
             Ending.NOT_RUN,
             retry_after_s=RETURN_SHARE * self.route.target_s,
         )
-
-
-def find_hedge_s(target_s: float, slow_s: float) -> float:
-    """Return after how long an attempt counts as slow.
-
-    Parameters
-    ----------
-    slow_s : float
-        Latency that few good answers exceed.
-
-    Examples
-    --------
-    >>> find_hedge_s(1.0, 0.1), find_hedge_s(1.0, 0.5), find_hedge_s(1.0, 3.0)
-    (0.5, 0.5, 0.6)
-    """
-    earliest = HEDGE_EARLIEST_SHARE * target_s
-    return min(max(slow_s, earliest), HEDGE_LATEST_SHARE * target_s)
--- a/ibisplank/gateway/_record.py
+++ b/ibisplank/gateway/_record.py
@@ -1,7 +1,8 @@
 """What this gateway has seen of one backend server."""
 
 import math
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from ibisplank.ids import ServerId
 
@@ -71,6 +72,8 @@
         Share of recent calls without a good answer.
     rest_until : float
         Time until which it gets no calls after it could not be reached.
+    watchers : set of callable
+        Called after each probe.
     """
 
     server: ServerId
@@ -79,6 +82,7 @@
     faults: float = 0.0
     rest_until: float = 0.0
     strikes: int = 0
+    watchers: set[Callable[[], None]] = field(default_factory=set)
     report: LoadReport | None = None
     report_at: float = 0.0
     _seen_at: float = 0.0
--- a/ibisplank/process/__init__.py
+++ b/ibisplank/process/__init__.py
@@ -10,7 +10,6 @@
 )
 from ibisplank.process._agent import Agent
 from ibisplank.process._attempts import Attempts
-from ibisplank.process._average import Average
 from ibisplank.process._baselines import Policy
 from ibisplank.process._borrower import Borrower, Need
 from ibisplank.process._claimdesk import ClaimDesk
@@ -54,7 +53,6 @@
     'AgentSettings',
     'Assign',
     'Attempts',
-    'Average',
     'Borrower',
     'Broadcast',
     'ClaimDesk',
