--- a/ibisplank/gateway/_watcher.py
+++ b/ibisplank/gateway/_watcher.py
@@ -13,12 +13,12 @@
 
 #: Longest wait for changes in one read, by topic.
 WAIT_S = MappingProxyType(
-    {Topic.OPERATOR: 1.0, Topic.SERVERS: 1.0, Topic.MEMBERS: 5.0},
+    {Topic.OPERATOR: 1.2, Topic.SERVERS: 1.2, Topic.MEMBERS: 5.0},
 )
 #: Age at which a gateway reads by itself, by topic. The strictest bound on
 #: a change is 2 s, and a read that fails takes up to `ANSWER_S`.
 STALE_S = MappingProxyType(
-    {Topic.OPERATOR: 1.25, Topic.SERVERS: 1.25, Topic.MEMBERS: 7.0},
+    {Topic.OPERATOR: 1.45, Topic.SERVERS: 1.45, Topic.MEMBERS: 7.0},
 )
 #: Time for an answer beyond the wait.
 ANSWER_S = 0.4
