Show the platform path in the demo, and test the program's stop

A real process under kept connections: SIGHUP with a broken file changes nothing, SIGTERM cuts no call that a server ran (fails without the closing of listeners), bad settings are one line and exit 2. Peer links: a stream that ends early or goes silent is dialled again (both fail without their mendings). The load tool sends calls as callers of a gateway do.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 	$(BIN)/python tests/run.py
 
 demo: env
+	$(BIN)/python -m examples.platform
 	$(BIN)/python -m examples.demo
 
 bench: env
--- /dev/null
+++ b/examples/platform.py
@@ -0,0 +1,127 @@
+"""The platform path in small: store and servers emulated, with troubles."""
+
+import sys
+
+import anyio
+from loguru import logger
+
+from harness.site import Site, run_site
+from ibisplank.gateway import (
+    CallerLimits,
+    Repeat,
+    RouteName,
+    RouteTerms,
+    RoutingConfig,
+    ServiceRules,
+    Share,
+)
+from ibisplank.ids import ServiceId
+from ibisplank.load import Plan, Report, Stream, drive
+from ibisplank.platform import DIALECT
+from ibisplank.standin import StoreFault
+
+HOST = 'catalogues.example'
+ZONES = ('zone-a', 'zone-b')
+SERVERS_A_ZONE = 3
+#: Service, its prefix, and whether its calls may run more than once.
+ROUTES = (
+    ('lookups', '/lookups/', Repeat.IDEMPOTENT, 1),
+    ('presses', '/presses/', Repeat.ONCE, 0),
+)
+DURATION_S = 8.0
+
+
+def make_config(version: int) -> RoutingConfig:
+    """Return the site's routes and services."""
+    routes = tuple(
+        RouteTerms(
+            RouteName(name),
+            HOST,
+            prefix,
+            repeat,
+            timeout_s=1.0,
+            target_s=0.2,
+            priority=priority,
+            shares=(Share(ServiceId(name), 1.0),),
+            max_attempts=2,
+        )
+        for name, prefix, repeat, priority in ROUTES
+    )
+    services = {
+        ServiceId(name): ServiceRules(ServiceId(name), '/health', 100, 3.0, 4.0)
+        for name, _, _, _ in ROUTES
+    }
+    return RoutingConfig(version, routes, services, CallerLimits())
+
+
+def make_plan(site: Site) -> Plan:
+    """Return calls of both routes to all gateways."""
+    streams = [
+        Stream(
+            customer='catalogues',
+            klass=name,
+            path=f'{prefix}1',
+            method='POST' if repeat is Repeat.ONCE else 'GET',
+            rate_per_s=25,
+            body_bytes=32 if repeat is Repeat.ONCE else 0,
+            deadline_ms=1000,
+            host=HOST,
+        )
+        for name, prefix, repeat, _ in ROUTES
+    ]
+    targets = [settings.callers for settings in site.settings]
+    return Plan(targets=targets, streams=streams, duration_s=DURATION_S)
+
+
+async def make_trouble(site: Site) -> None:
+    """Slow a server down, lose answers, and take the store away."""
+    slow, losing, *_ = site.upstreams.values()
+    await anyio.sleep(DURATION_S / 4)
+    print('a server works at a quarter of its pace')
+    slow.faults.pace = 4.0
+    await anyio.sleep(DURATION_S / 4)
+    print('another loses a third of its answers; the store is down')
+    losing.faults.lose_share = 0.3
+    site.store.fault = StoreFault.BUSY
+    await anyio.sleep(DURATION_S / 4)
+    print('all is well again')
+    slow.faults.pace = 1.0
+    losing.faults.lose_share = 0.0
+    site.store.fault = StoreFault.NONE
+
+
+async def run() -> Report:
+    """Start the site, send the calls, and return their figures."""
+    async with run_site() as site:
+        site.put_config(make_config(1))
+        for zone in ZONES:
+            for name, _, _, _ in ROUTES:
+                for number in range(SERVERS_A_ZONE):
+                    await site.add_upstream(
+                        f'{name}-{zone}-{number}',
+                        ServiceId(name),
+                        zone,
+                    )
+            for number in range(2):
+                await site.add_gateway(f'vm-{zone}-{number}', zone)
+        await site.wait_for_servers(len(site.upstreams))
+        async with anyio.create_task_group() as group:
+            group.start_soon(make_trouble, site)
+            report = await drive(make_plan(site), DIALECT)
+        ran = [name for each in site.upstreams.values() for name in each.ran]
+        print(f'{site.store.calls} store calls, {len(ran)} runs on servers')
+        return report
+
+
+def main() -> int:
+    """Run the demo; return the exit code."""
+    logger.remove()
+    report = anyio.run(run)
+    print(report.render())
+    answered = all(row.answered for row in report.rows)
+    print('every route was answered' if answered else 'a route had no answer')
+    return 0 if answered else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/ibisplank/cli/load.py
+++ b/ibisplank/cli/load.py
@@ -11,6 +11,7 @@
     version_option,
 )
 from ibisplank.load import Report, drive, merge_reports, parse_plan
+from ibisplank.platform import DIALECT
 from ibisplank.process import run_loop
 
 EXAMPLE = """
@@ -38,11 +39,17 @@
 
 @main.command()
 @click.argument('plan', type=click.File())
+@click.option(
+    '--gateway',
+    is_flag=True,
+    help='Send calls as callers of a gateway do, by host and path.',
+)
 @click.pass_obj
 @report_errors
-def run(output: str, plan: TextIO) -> None:
+def run(output: str, plan: TextIO, *, gateway: bool) -> None:
     """Run a plan."""
-    _show(output, run_loop(drive, parse_plan(plan.read())))
+    dialect = DIALECT if gateway else None
+    _show(output, run_loop(drive, parse_plan(plan.read()), dialect))
 
 
 @main.command()
--- a/ibisplank/load/_driver.py
+++ b/ibisplank/load/_driver.py
@@ -7,6 +7,7 @@
 
 from ibisplank.connection import Exchange, Route
 from ibisplank.errors import BackendError
+from ibisplank.gateway import Dialect
 from ibisplank.load._plan import Plan, Stream
 from ibisplank.load._report import Report, Tally, make_report
 from ibisplank.process import read_clock
@@ -20,9 +21,10 @@
 class Driver:
     """One run of a plan."""
 
-    def __init__(self, plan: Plan) -> None:
+    def __init__(self, plan: Plan, dialect: Dialect | None = None) -> None:
         self.tallies: dict[tuple[str, str], Tally] = {}
         self._plan = plan
+        self._dialect = dialect
         self._random = random.Random(plan.seed)
         self._routes = [Route(target, read_clock) for target in plan.targets]
         self._start = read_clock()
@@ -79,7 +81,7 @@
         exchange = Exchange(
             stream.method.encode(),
             stream.path.encode(),
-            _make_headers(stream),
+            self._make_headers(stream),
             bytes(stream.body_bytes),
             patience_s,
             proven=False,
@@ -96,27 +98,50 @@
         kind = fields.get(b'ibisplank-refusal', b'').decode()
         self._note(tally, due, answer.status, kind)
 
+    def _make_headers(self, stream: Stream) -> list[tuple[bytes, bytes]]:
+        if self._dialect is None:
+            return _make_cell_headers(stream)
+        headers = [
+            (b'host', stream.host.encode()),
+            (self._dialect.request_id, _make_id()),
+            (self._dialect.deadline_ms, b'%d' % stream.deadline_ms),
+        ]
+        return headers + _make_length(stream)
+
     def _note(self, tally: Tally, due: float, status: int, kind: str) -> None:
         if due >= self._start + self._plan.warmup_s:
             tally.note(status, kind, read_clock() - due)
 
 
-async def drive(plan: Plan) -> Report:
-    """Run a plan and return its figures."""
-    driver = Driver(plan)
+async def drive(plan: Plan, dialect: Dialect | None = None) -> Report:
+    """Run a plan and return its figures.
+
+    Parameters
+    ----------
+    dialect : Dialect or None
+        Header names of the platform's callers; the cell's where None.
+    """
+    driver = Driver(plan, dialect)
     await driver.run()
     return make_report(driver.tallies, plan.duration_s)
 
 
-def _make_headers(stream: Stream) -> list[tuple[bytes, bytes]]:
+def _make_id() -> bytes:
+    return secrets.token_hex(ID_BYTES).encode()
+
+
+def _make_length(stream: Stream) -> list[tuple[bytes, bytes]]:
+    if stream.method in {'GET', 'HEAD'}:
+        return []
+    return [(b'content-length', b'%d' % stream.body_bytes)]
+
+
+def _make_cell_headers(stream: Stream) -> list[tuple[bytes, bytes]]:
     headers = [
-        (b'host', b'ibisplank'),
+        (b'host', stream.host.encode()),
         (b'authorization', b'Bearer ' + stream.key.encode()),
         (b'ibisplank-deadline-ms', b'%d' % stream.deadline_ms),
     ]
-    if stream.method not in {'GET', 'HEAD'}:
-        headers.append((b'content-length', b'%d' % stream.body_bytes))
     if stream.request_ids:
-        name = secrets.token_hex(ID_BYTES).encode()
-        headers.append((b'ibisplank-request-id', name))
-    return headers
+        headers.append((b'ibisplank-request-id', _make_id()))
+    return headers + _make_length(stream)
--- a/ibisplank/load/_plan.py
+++ b/ibisplank/load/_plan.py
@@ -22,6 +22,8 @@
         Calls in flight at most; where the rate is 0, exactly so many.
     request_ids : bool
         Whether each call names a request id.
+    host : str
+        Host that each call names.
     weight : float
         Weight of an answered call in the report.
     """
@@ -35,6 +37,7 @@
     callers: Annotated[int, msgspec.Meta(ge=1)] = 100
     body_bytes: Annotated[int, msgspec.Meta(ge=0)] = 0
     request_ids: bool = False
+    host: str = 'ibisplank'
     deadline_ms: Annotated[int, msgspec.Meta(ge=1)] = 2000
     weight: Positive = 1.0
 
--- /dev/null
+++ b/tests/test_gateway_process.py
@@ -0,0 +1,151 @@
+"""The gateway's program: settings, signals, a stop that cuts nothing."""
+
+import signal
+import sys
+from pathlib import Path
+
+import anyio
+import httpcore
+
+from harness.processes import LOOPBACK, pick_port
+from harness.site import RETRY, run_site
+from ibisplank.gateway import GatewaySettings
+from ibisplank.ids import VmId, ZoneId
+from ibisplank.platform import DIALECT, render_settings
+from tests.gateways import SERVICE, make_config, make_route
+
+PROGRAM = (sys.executable, '-m', 'harness.program', 'gateway')
+GRACE_S = 6.0
+READY_S = 15.0
+
+
+def make_settings(store: str) -> GatewaySettings:
+    addresses = [f'{LOOPBACK}:{pick_port()}' for _ in range(4)]
+    return GatewaySettings(
+        VmId('vm-1'),
+        ZoneId('z1'),
+        addresses[0],
+        addresses[1],
+        addresses[2],
+        addresses[3],
+        store,
+        (),
+        GRACE_S,
+        RETRY,
+    )
+
+
+async def is_ready(settings: GatewaySettings) -> bool:
+    try:
+        async with httpcore.AsyncConnectionPool() as pool:
+            url = f'http://{settings.readiness}/ready'
+            return (await pool.request('GET', url)).status == 200
+    except httpcore.NetworkError:
+        return False
+
+
+class Callers:
+    """Calls one after another on a kept connection each."""
+
+    def __init__(self, settings: GatewaySettings) -> None:
+        self.good = 0
+        self.unread = 0
+        self.cut: list[str] = []
+        self._settings = settings
+
+    async def run(self, caller: int) -> None:
+        """Call until the gateway is gone."""
+        async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
+            number = 0
+            while True:
+                number += 1
+                try:
+                    await self._call(pool, f'{caller}-{number}')
+                except httpcore.ConnectError:
+                    return
+
+    async def _call(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        name: str,
+    ) -> None:
+        try:
+            response = await pool.request(
+                'POST',
+                f'http://{self._settings.callers}/once/x',
+                headers=[
+                    (b'host', b'host.example'),
+                    (DIALECT.request_id, name.encode()),
+                    (DIALECT.deadline_ms, b'1000'),
+                ],
+                content=b'body',
+            )
+        except httpcore.ConnectError:
+            raise
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            self.cut.append(name)
+            return
+        if response.status == 200:
+            self.good += 1
+        else:
+            self.cut.append(f'{name}: {response.status}')
+
+
+def test_a_stop_cuts_no_call(tmp_path: Path) -> None:
+    """Calls go on until the listeners close; what a server ran is answered."""
+
+    async def scene() -> None:
+        async with run_site() as site:
+            route = make_route('/once/', max_attempts=1)
+            site.put_config(make_config(1, route))
+            for number in range(3):
+                await site.add_upstream(f's{number}', SERVICE)
+            settings = make_settings(site.store_address)
+            path = tmp_path / 'settings.toml'
+            path.write_bytes(render_settings(settings))
+            async with await anyio.open_process(
+                [*PROGRAM, '--settings', str(path)],
+                stdout=None,
+            ) as process:
+                with anyio.fail_after(READY_S):
+                    while not await is_ready(settings):
+                        await anyio.sleep(0.05)
+                callers = Callers(settings)
+                async with anyio.create_task_group() as group:
+                    for caller in range(4):
+                        group.start_soon(callers.run, caller)
+                    await anyio.sleep(0.5)
+                    path.write_text('[self')
+                    process.send_signal(signal.SIGHUP)
+                    await anyio.sleep(0.5)
+                    assert await is_ready(settings)
+                    process.send_signal(signal.SIGTERM)
+                    await anyio.sleep(0.2)
+                    assert not await is_ready(settings)
+                    with anyio.fail_after(GRACE_S):
+                        assert await process.wait() == 0
+            ran = {
+                name
+                for upstream in site.upstreams.values()
+                for name in upstream.ran
+            }
+            assert callers.good > 50
+            lost = [name for name in callers.cut if name in ran]
+            assert lost == []
+
+    anyio.run(scene)
+
+
+def test_bad_settings_are_told_in_one_line(tmp_path: Path) -> None:
+    async def scene() -> None:
+        path = tmp_path / 'settings.toml'
+        path.write_text('[self]\nnodeName = 7\n')
+        command = [*PROGRAM, '--settings', str(path)]
+        done = await anyio.run_process(command, check=False)
+        assert done.returncode == 2
+        lines = done.stderr.decode().splitlines()
+        assert len(lines) == 1
+        assert 'nodeName' in lines[0]
+        assert 'correct that field' in lines[0]
+
+    anyio.run(scene)
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -5,9 +5,11 @@
 import anyio
 import pytest
 import trustme
+from grpclib.server import Stream
 
 from harness.processes import LOOPBACK, pick_port
 from ibisplank.connection import (
+    Envelope,
     Hello,
     Idle,
     Message,
@@ -16,6 +18,7 @@
     PeerTls,
     TlsFiles,
 )
+from ibisplank.connection._peer import PING_S, SILENCE_S
 from ibisplank.errors import SettingError
 from ibisplank.ids import MemberId, ServiceId
 from tests.certificates import issue
@@ -155,3 +158,55 @@
     options = {'use_uvloop': uvloop}
     for ends, starts in ((True, True), (False, True), (False, False)):
         assert anyio.run(run, ends, starts, backend_options=options)
+
+
+class ShortServer(PeerServer):
+    """Ends each stream at once, without a word."""
+
+    async def exchange(self, stream: Stream[Envelope, Envelope]) -> None:
+        """Return before anything was said."""
+
+
+class MuteServer(PeerServer):
+    """Greets, and is silent ever after."""
+
+    async def exchange(self, stream: Stream[Envelope, Envelope]) -> None:
+        """Say hello and nothing more."""
+        await stream.send_message(Envelope((Hello(MemberId('mute')),)))
+        await anyio.sleep_forever()
+
+
+def test_a_stream_that_ends_early_is_dialled_again() -> None:
+    async def run() -> None:
+        port = pick_port()
+        server = ShortServer(MemberId('server'), lambda _, message: None)
+        await server.start(LOOPBACK, port)
+        hello = Hello(MemberId('client'))
+        link = PeerLink(f'{LOOPBACK}:{port}', hello, Owner())
+        with anyio.move_on_after(1.0):
+            await link.run()
+        await server.stop()
+
+    anyio.run(run)
+
+
+def test_a_silent_stream_is_given_up() -> None:
+    async def run() -> None:
+        port = pick_port()
+        server = MuteServer(MemberId('server'), lambda _, message: None)
+        await server.start(LOOPBACK, port)
+        owner = Owner()
+        hello = Hello(MemberId('client'))
+        link = PeerLink(f'{LOOPBACK}:{port}', hello, owner)
+        async with anyio.create_task_group() as group:
+            group.start_soon(link.run)
+            with anyio.fail_after(2.0):
+                while not owner.up:
+                    await anyio.sleep(0.01)
+            with anyio.fail_after(SILENCE_S + PING_S):
+                while owner.up:
+                    await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+        await server.stop()
+
+    anyio.run(run)
