--- a/examples/platform.py
+++ b/examples/platform.py
@@ -1,5 +1,6 @@
 """The platform path in small: store and servers emulated, with troubles."""
 
+import logging
 import sys
 
 import anyio
@@ -116,6 +117,8 @@
 def main() -> int:
     """Run the demo; return the exit code."""
     logger.remove()
+    # Servers report each call that ends with them at the end of the run.
+    logging.getLogger('uvicorn.error').disabled = True
     report = anyio.run(run)
     print(report.render())
     answered = all(row.answered for row in report.rows)
--- a/harness/site.py
+++ b/harness/site.py
@@ -1,7 +1,6 @@
 """A site in one process: gateways, the emulated store and its servers."""
 
 import contextlib
-import logging
 import random
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
@@ -193,14 +192,8 @@
 @contextlib.asynccontextmanager
 async def run_site() -> AsyncIterator[Site]:
     """Run a site with its store; all ends with the context."""
-    errors = logging.getLogger('uvicorn.error')
-    try:
-        async with anyio.create_task_group() as group:
-            site = Site(group)
-            site.store_address, _ = await serve(site.store, group)
-            yield site
-            # Servers report each call that ends with them.
-            errors.disabled = True
-            group.cancel_scope.cancel()
-    finally:
-        errors.disabled = False
+    async with anyio.create_task_group() as group:
+        site = Site(group)
+        site.store_address, _ = await serve(site.store, group)
+        yield site
+        group.cancel_scope.cancel()
--- a/ibisplank/gateway/_front.py
+++ b/ibisplank/gateway/_front.py
@@ -89,11 +89,12 @@
 
     async def _admit(self, scope: Scope, receive: Receive) -> Job | Rejection:
         """Return the call that a route allows, read whole."""
-        config = self._knowledge.config
-        if not config.version:
-            return Rejection(UNAVAILABLE, 'no config yet')
         arrived_at = self._clock()
+        config = self._knowledge.config
         head = parse_head(scope, self._dialect)
+        if not config.version:
+            name = head.request_id.decode('latin-1')
+            return Rejection(UNAVAILABLE, 'no config yet', name)
         route = find_route(head, self._knowledge.routes, config.limits)
         if isinstance(route, Rejection):
             return self._soften(route)
--- a/ibisplank/process/__init__.py
+++ b/ibisplank/process/__init__.py
@@ -1,46 +1,50 @@
 """What lives for a process: the daemons and the decisions they share."""
 
-from ibisplank.process._actions import (
-    Action,
-    Assign,
-    Broadcast,
-    Deliver,
-    Lease,
-    Refuse,
+from ibisplank.process.admission._claimdesk import ClaimDesk
+from ibisplank.process.admission._permits import ASK_PAUSE_S, LEASE_S, Permits
+from ibisplank.process.admission._share import Permit, divide
+from ibisplank.process.daemons._agent import Agent
+from ibisplank.process.daemons._clock import make_member, make_token, read_clock
+from ibisplank.process.daemons._entry import Entry
+from ibisplank.process.daemons._lines import LineLimit, LogLines, log_event
+from ibisplank.process.daemons._links import Links
+from ibisplank.process.daemons._logs import (
+    LogFormat,
+    set_logs,
+    set_structured_logs,
 )
-from ibisplank.process._agent import Agent
-from ibisplank.process._attempts import Attempts
-from ibisplank.process._baselines import Policy
-from ibisplank.process._borrower import Borrower, Need
-from ibisplank.process._claimdesk import ClaimDesk
-from ibisplank.process._clock import make_member, make_token, read_clock
-from ibisplank.process._deaths import ACK_WAIT_S, Deaths
-from ibisplank.process._dispatch import Outcome
-from ibisplank.process._entry import Entry
-from ibisplank.process._hedges import Hedges, Watch
-from ibisplank.process._holder import Holder, Slot
-from ibisplank.process._known import Known
-from ibisplank.process._ledger import Ledger
-from ibisplank.process._lines import LineLimit, LogLines, log_event
-from ibisplank.process._links import Links
-from ibisplank.process._logs import LogFormat, set_logs, set_structured_logs
-from ibisplank.process._loop import run_loop
-from ibisplank.process._membership import Membership
-from ibisplank.process._metrics import Metrics
-from ibisplank.process._ownership import GUARD_S
-from ibisplank.process._permits import ASK_PAUSE_S, LEASE_S, Permits
-from ibisplank.process._probes import ProbeBudget, Probes
-from ibisplank.process._queue import Queue, Want
-from ibisplank.process._servers import Servers
-from ibisplank.process._settings import (
+from ibisplank.process.daemons._loop import run_loop
+from ibisplank.process.daemons._metrics import Metrics
+from ibisplank.process.daemons._settings import (
     DEFAULT_BODY_LIMIT,
     AgentSettings,
     EntrySettings,
     Place,
     split_address,
 )
-from ibisplank.process._share import Permit, divide
-from ibisplank.process._trust import ServerTrust
+from ibisplank.process.knowledge._deaths import ACK_WAIT_S, Deaths
+from ibisplank.process.knowledge._known import Known
+from ibisplank.process.knowledge._membership import Membership
+from ibisplank.process.knowledge._probes import ProbeBudget, Probes
+from ibisplank.process.placing._actions import (
+    Action,
+    Assign,
+    Broadcast,
+    Deliver,
+    Lease,
+    Refuse,
+)
+from ibisplank.process.placing._attempts import Attempts
+from ibisplank.process.placing._baselines import Policy
+from ibisplank.process.placing._borrower import Borrower, Need
+from ibisplank.process.placing._dispatch import Outcome
+from ibisplank.process.placing._hedges import Hedges, Watch
+from ibisplank.process.placing._holder import Holder, Slot
+from ibisplank.process.placing._ledger import Ledger
+from ibisplank.process.placing._ownership import GUARD_S
+from ibisplank.process.placing._queue import Queue, Want
+from ibisplank.process.placing._servers import Servers
+from ibisplank.process.placing._trust import ServerTrust
 
 __all__ = (
     'ACK_WAIT_S',
--- /dev/null
+++ b/ibisplank/process/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which calls a customer's contract lets in, and which may run."""
--- a/ibisplank/process/_calls.py
+++ b/ibisplank/process/admission/_calls.py
@@ -15,13 +15,13 @@
 )
 from ibisplank.errors import Refused
 from ibisplank.ids import Ran, RefusalKind
-from ibisplank.process._attempts import Attempts
-from ibisplank.process._deaths import Deaths
-from ibisplank.process._metrics import Metrics, Sample
-from ibisplank.process._once import OnceRunner
-from ibisplank.process._permits import Permits
-from ibisplank.process._share import Permit
-from ibisplank.process._slots import Slots
+from ibisplank.process.admission._once import OnceRunner
+from ibisplank.process.admission._permits import Permits
+from ibisplank.process.admission._share import Permit
+from ibisplank.process.daemons._metrics import Metrics, Sample
+from ibisplank.process.knowledge._deaths import Deaths
+from ibisplank.process.placing._attempts import Attempts
+from ibisplank.process.placing._slots import Slots
 from ibisplank.request import (
     Call,
     digest_request,
--- a/ibisplank/process/_claimdesk.py
+++ b/ibisplank/process/admission/_claimdesk.py
@@ -14,7 +14,7 @@
 )
 from ibisplank.errors import StoreDown
 from ibisplank.ids import MemberId, ServerId
-from ibisplank.process._links import Links
+from ibisplank.process.daemons._links import Links
 from ibisplank.request import (
     ClaimSink,
     ClaimWrite,
--- a/ibisplank/process/_once.py
+++ b/ibisplank/process/admission/_once.py
@@ -5,8 +5,8 @@
 from ibisplank.connection import Answer
 from ibisplank.errors import Refused, StoreDown
 from ibisplank.ids import CustomerId, Ran, RefusalKind, RequestId
-from ibisplank.process._attempts import Attempts
-from ibisplank.process._clock import make_token
+from ibisplank.process.daemons._clock import make_token
+from ibisplank.process.placing._attempts import Attempts
 from ibisplank.request import (
     Call,
     ClaimRecord,
--- a/ibisplank/process/_permits.py
+++ b/ibisplank/process/admission/_permits.py
@@ -8,8 +8,14 @@
     PermitSettled,
 )
 from ibisplank.ids import CustomerId, MemberId, RefusalKind
-from ibisplank.process._actions import Action, Broadcast, Deliver
-from ibisplank.process._share import Permit, PermitLease, Share, divide, halve
+from ibisplank.process.admission._share import (
+    Permit,
+    PermitLease,
+    Share,
+    divide,
+    halve,
+)
+from ibisplank.process.placing._actions import Action, Broadcast, Deliver
 from ibisplank.version import (
     CONFIRM_S,
     MAX_DEADLINE_S,
--- /dev/null
+++ b/ibisplank/process/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The processes themselves: settings, clocks, loops, links, logs, metrics."""
--- a/ibisplank/process/_agent.py
+++ b/ibisplank/process/daemons/_agent.py
@@ -20,13 +20,13 @@
     VmNews,
 )
 from ibisplank.ids import MemberId, VmId
-from ibisplank.process._clock import read_clock
-from ibisplank.process._known import Known
-from ibisplank.process._links import Links
-from ibisplank.process._membership import BEAT_S, Membership
-from ibisplank.process._poller import Poller
-from ibisplank.process._probes import PROBE_COST_S, Prober
-from ibisplank.process._settings import AgentSettings, split_address
+from ibisplank.process.daemons._clock import read_clock
+from ibisplank.process.daemons._links import Links
+from ibisplank.process.daemons._settings import AgentSettings, split_address
+from ibisplank.process.knowledge._known import Known
+from ibisplank.process.knowledge._membership import BEAT_S, Membership
+from ibisplank.process.knowledge._poller import Poller
+from ibisplank.process.knowledge._probes import PROBE_COST_S, Prober
 from ibisplank.store import HttpPlatform
 from ibisplank.version import Member, VmList
 
--- a/ibisplank/process/_entry.py
+++ b/ibisplank/process/daemons/_entry.py
@@ -32,19 +32,19 @@
     make_server,
 )
 from ibisplank.ids import MemberId, VmState
-from ibisplank.process._attempts import Attempts
-from ibisplank.process._baselines import make_slots
-from ibisplank.process._calls import CallParts, CallPath
-from ibisplank.process._claimdesk import ClaimDesk
-from ibisplank.process._clock import make_member, read_clock
-from ibisplank.process._deaths import Deaths
-from ibisplank.process._known import Known
-from ibisplank.process._ledger import Ledger
-from ibisplank.process._links import Links
-from ibisplank.process._metrics import Metrics
-from ibisplank.process._once import OnceRunner
-from ibisplank.process._permits import Permits
-from ibisplank.process._settings import EntrySettings, split_address
+from ibisplank.process.admission._calls import CallParts, CallPath
+from ibisplank.process.admission._claimdesk import ClaimDesk
+from ibisplank.process.admission._once import OnceRunner
+from ibisplank.process.admission._permits import Permits
+from ibisplank.process.daemons._clock import make_member, read_clock
+from ibisplank.process.daemons._links import Links
+from ibisplank.process.daemons._metrics import Metrics
+from ibisplank.process.daemons._settings import EntrySettings, split_address
+from ibisplank.process.knowledge._deaths import Deaths
+from ibisplank.process.knowledge._known import Known
+from ibisplank.process.placing._attempts import Attempts
+from ibisplank.process.placing._baselines import make_slots
+from ibisplank.process.placing._ledger import Ledger
 from ibisplank.request import Claims, ClaimWriter
 from ibisplank.store import HttpPlatform
 from ibisplank.version import Roster, VmList
--- a/ibisplank/process/_logs.py
+++ b/ibisplank/process/daemons/_logs.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from ibisplank.process._lines import LogLines
+from ibisplank.process.daemons._lines import LogLines
 
 
 class LogFormat(Enum):
--- a/ibisplank/process/_settings.py
+++ b/ibisplank/process/daemons/_settings.py
@@ -6,7 +6,7 @@
 from ibisplank.connection import TlsFiles
 from ibisplank.errors import SettingError
 from ibisplank.ids import CellId, VmId, ZoneId
-from ibisplank.process._baselines import Policy
+from ibisplank.process.placing._baselines import Policy
 
 MAX_PORT = 65535
 DEFAULT_BODY_LIMIT = 8388608
--- a/ibisplank/process/_deaths.py
+++ b/ibisplank/process/knowledge/_deaths.py
@@ -14,7 +14,7 @@
     SuspectNews,
 )
 from ibisplank.ids import MemberId, ServerId
-from ibisplank.process._links import Links
+from ibisplank.process.daemons._links import Links
 from ibisplank.request import Suspects, Verdict, refuse_suspect
 
 #: Longest wait for a member that does not confirm.
--- a/ibisplank/process/_poller.py
+++ b/ibisplank/process/knowledge/_poller.py
@@ -10,10 +10,10 @@
 from ibisplank.connection import ConfigFull, ConfigNews, RosterNews
 from ibisplank.errors import StoreError
 from ibisplank.ids import CellId, MemberId, ServerId
-from ibisplank.process._clock import read_clock
-from ibisplank.process._known import Known
-from ibisplank.process._membership import Membership
-from ibisplank.process._ownership import GUARD_S
+from ibisplank.process.daemons._clock import read_clock
+from ibisplank.process.knowledge._known import Known
+from ibisplank.process.knowledge._membership import Membership
+from ibisplank.process.placing._ownership import GUARD_S
 from ibisplank.request import ClaimWriter, make_prefix
 from ibisplank.store import (
     ConfigStore,
--- a/ibisplank/process/_probes.py
+++ b/ibisplank/process/knowledge/_probes.py
@@ -13,8 +13,8 @@
     parse_load,
 )
 from ibisplank.ids import MemberId, ServerId, ServiceId
-from ibisplank.process._clock import read_clock
-from ibisplank.process._known import Known
+from ibisplank.process.daemons._clock import read_clock
+from ibisplank.process.knowledge._known import Known
 from ibisplank.version import CONFIRM_S, Roster, Server, SlotId, find_holder
 
 #: Probes that may be saved up.
--- /dev/null
+++ b/ibisplank/process/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Which slot of which backend server a call gets, and what its answer shows."""
--- a/ibisplank/process/_attempts.py
+++ b/ibisplank/process/placing/_attempts.py
@@ -13,15 +13,15 @@
     RefusalKind,
     ServerId,
 )
-from ibisplank.process._actions import Lease
-from ibisplank.process._average import Average
-from ibisplank.process._borrower import Need
-from ibisplank.process._deaths import Deaths
-from ibisplank.process._dispatch import Dispatcher, Outcome
-from ibisplank.process._hedges import Hedges, Watch
-from ibisplank.process._metrics import Metrics
-from ibisplank.process._slots import Slots
-from ibisplank.process._trust import MIN_ANSWERS
+from ibisplank.process.daemons._metrics import Metrics
+from ibisplank.process.knowledge._deaths import Deaths
+from ibisplank.process.placing._actions import Lease
+from ibisplank.process.placing._average import Average
+from ibisplank.process.placing._borrower import Need
+from ibisplank.process.placing._dispatch import Dispatcher, Outcome
+from ibisplank.process.placing._hedges import Hedges, Watch
+from ibisplank.process.placing._slots import Slots
+from ibisplank.process.placing._trust import MIN_ANSWERS
 from ibisplank.request import (
     Call,
     Failure,
--- a/ibisplank/process/_baselines.py
+++ b/ibisplank/process/placing/_baselines.py
@@ -8,11 +8,11 @@
 
 from ibisplank.connection import AnswerReport
 from ibisplank.ids import LoanId, MemberId, ServerId
-from ibisplank.process._actions import Lease
-from ibisplank.process._borrower import Need
-from ibisplank.process._ledger import Ledger
-from ibisplank.process._links import Links
-from ibisplank.process._slots import Slots
+from ibisplank.process.daemons._links import Links
+from ibisplank.process.placing._actions import Lease
+from ibisplank.process.placing._borrower import Need
+from ibisplank.process.placing._ledger import Ledger
+from ibisplank.process.placing._slots import Slots
 from ibisplank.version import Server
 
 CHOICES = 2
--- a/ibisplank/process/_borrower.py
+++ b/ibisplank/process/placing/_borrower.py
@@ -14,7 +14,7 @@
     ServiceId,
     ZoneId,
 )
-from ibisplank.process._trust import SAFE_DEVIATIONS, ServerTrust
+from ibisplank.process.placing._trust import SAFE_DEVIATIONS, ServerTrust
 
 #: Lenders asked at once where none is known to have an idle slot.
 FIRST_ASKS = 2
--- a/ibisplank/process/_dispatch.py
+++ b/ibisplank/process/placing/_dispatch.py
@@ -22,7 +22,7 @@
     SilentConnection,
     TornAnswer,
 )
-from ibisplank.process._actions import Lease
+from ibisplank.process.placing._actions import Lease
 from ibisplank.request import Call, Failure
 from ibisplank.version import MS_PER_S
 
--- a/ibisplank/process/_hedges.py
+++ b/ibisplank/process/placing/_hedges.py
@@ -7,7 +7,7 @@
 from anyio.abc import TaskGroup
 
 from ibisplank.connection import Answer, AnswerReport
-from ibisplank.process._dispatch import Outcome
+from ibisplank.process.placing._dispatch import Outcome
 from ibisplank.request import Failure
 
 #: Time between two looks for slow calls.
--- a/ibisplank/process/_holder.py
+++ b/ibisplank/process/placing/_holder.py
@@ -12,8 +12,8 @@
     ServiceId,
     ZoneId,
 )
-from ibisplank.process._queue import Queue, Want
-from ibisplank.process._trust import (
+from ibisplank.process.placing._queue import Queue, Want
+from ibisplank.process.placing._trust import (
     SAFE_DEVIATIONS,
     SPARE_DEVIATIONS,
     ServerTrust,
--- a/ibisplank/process/_ledger.py
+++ b/ibisplank/process/placing/_ledger.py
@@ -16,7 +16,7 @@
     Withdraw,
 )
 from ibisplank.ids import CallId, LoanId, MemberId, ServiceId, ZoneId
-from ibisplank.process._actions import (
+from ibisplank.process.placing._actions import (
     Action,
     Assign,
     Broadcast,
@@ -24,11 +24,11 @@
     Lease,
     Refuse,
 )
-from ibisplank.process._borrower import Borrower, Need
-from ibisplank.process._holder import Granted, Holder
-from ibisplank.process._ownership import Ownership
-from ibisplank.process._queue import Want
-from ibisplank.process._servers import Servers
+from ibisplank.process.placing._borrower import Borrower, Need
+from ibisplank.process.placing._holder import Granted, Holder
+from ibisplank.process.placing._ownership import Ownership
+from ibisplank.process.placing._queue import Want
+from ibisplank.process.placing._servers import Servers
 from ibisplank.version import MAX_DEADLINE_S, Roster, Server
 
 #: Stands for a slot of another member.
--- a/ibisplank/process/_ownership.py
+++ b/ibisplank/process/placing/_ownership.py
@@ -4,7 +4,7 @@
 
 from ibisplank.connection import SlotFreed
 from ibisplank.ids import MemberId, ServerId
-from ibisplank.process._holder import Slot, SlotState
+from ibisplank.process.placing._holder import Slot, SlotState
 from ibisplank.version import (
     CONFIRM_S,
     MAX_DEADLINE_S,
--- a/ibisplank/process/_servers.py
+++ b/ibisplank/process/placing/_servers.py
@@ -4,7 +4,7 @@
 
 from ibisplank.connection import ServerNews, Trust
 from ibisplank.ids import MemberId, ServerId, ServiceId
-from ibisplank.process._trust import WARM_ANSWERS, ServerTrust
+from ibisplank.process.placing._trust import WARM_ANSWERS, ServerTrust
 from ibisplank.version import Server
 
 
--- a/ibisplank/process/_slots.py
+++ b/ibisplank/process/placing/_slots.py
@@ -7,7 +7,8 @@
 
 from ibisplank.connection import AnswerReport, Message
 from ibisplank.ids import CallId, MemberId
-from ibisplank.process._actions import (
+from ibisplank.process.daemons._links import Links
+from ibisplank.process.placing._actions import (
     Action,
     Assign,
     Broadcast,
@@ -15,9 +16,8 @@
     Lease,
     Refuse,
 )
-from ibisplank.process._borrower import Need
-from ibisplank.process._ledger import Ledger
-from ibisplank.process._links import Links
+from ibisplank.process.placing._borrower import Need
+from ibisplank.process.placing._ledger import Ledger
 
 BUSY_TICK_S = 0.01
 IDLE_TICK_S = 0.05
--- a/ibisplank/process/_trust.py
+++ b/ibisplank/process/placing/_trust.py
@@ -4,7 +4,7 @@
 
 from ibisplank.connection import AnswerReport, Trust
 from ibisplank.ids import MemberId, ServerId, StartId
-from ibisplank.process._average import Average
+from ibisplank.process.placing._average import Average
 
 #: Level of a server that says it is leaving.
 NO_LEVEL = 0
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -6,7 +6,11 @@
 from loguru import logger
 
 from ibisplank.process import LogLines, log_event
-from ibisplank.process._lines import BURST_LINES, LINES_PER_S, MAX_WAITING
+from ibisplank.process.daemons._lines import (
+    BURST_LINES,
+    LINES_PER_S,
+    MAX_WAITING,
+)
 
 
 def test_a_line_holds_its_event_and_fields() -> None:
