--- a/ibisplank/gateway/_gateway.py
+++ b/ibisplank/gateway/_gateway.py
@@ -26,6 +26,7 @@
 from ibisplank.gateway._knowledge import Knowledge
 from ibisplank.gateway._mesh import Mesh
 from ibisplank.gateway._metrics import GatewayMetrics
+from ibisplank.gateway._outage import StoreOutage
 from ibisplank.gateway._placing import Placer
 from ibisplank.gateway._prober import Prober
 from ibisplank.gateway._settings import EXIT_SHARE, GatewaySettings
@@ -119,6 +120,7 @@
             self._mesh.list_alive,
             self._mesh.send_report,
         )
+        self._outage = StoreOutage()
         self._stopping = False
         self._servers: list[HttpServer] = []
 
@@ -192,6 +194,8 @@
             lambda: rows.version,
             self._luck,
             self._metrics.note_event,
+            self._outage,
+            read_clock,
         )
 
     def _take(self, reading: Reading) -> None:
--- a/ibisplank/gateway/_watcher.py
+++ b/ibisplank/gateway/_watcher.py
@@ -8,6 +8,7 @@
 import anyio
 
 from ibisplank.errors import HistoryGone, StoreError
+from ibisplank.gateway._outage import StoreOutage
 from ibisplank.process import log_event
 from ibisplank.store import Reading, RowStore, Topic
 
@@ -26,6 +27,7 @@
 #: others, up to `MAX_PAUSE_S`.
 PAUSE_S = 0.2
 MAX_PAUSE_S = 1.0
+DOUBLINGS = 8
 #: How often a gateway that doesn't read looks at the age of its picture.
 LOOK_S = 0.1
 #: Pauses are spread between these shares, so that gateways differ.
@@ -48,6 +50,8 @@
         Version up to which all changes of the topic are known.
     count : callable
         Counts an event by name.
+    outage : StoreOutage
+        What the topics of one gateway know of the store's failing.
     """
 
     topic: Topic
@@ -58,13 +62,15 @@
     find_version: Callable[[], int]
     luck: random.Random
     count: Callable[[str], None]
+    outage: StoreOutage
+    clock: Callable[[], float]
     _gone: bool = False
-    _failures: int = 0
+    _lost: bool = False
 
     async def run(self) -> None:
         """Read for ever."""
         while True:
-            if self._must_read():
+            if self._must_read() and self.outage.take_turn(self.clock()):
                 await self._read_once()
             else:
                 await anyio.sleep(LOOK_S * self.luck.uniform(*SPREAD))
@@ -82,11 +88,11 @@
             return
         except StoreError as error:
             self._note_failure(error)
-            await anyio.sleep(self._find_pause_s())
             return
-        if self._failures:
+        self.outage.note_success()
+        if self._lost:
             log_event('store regained', topic=self.topic.value)
-        self._failures = 0
+        self._lost = False
         self._gone = False
         self.take(reading)
 
@@ -106,11 +112,13 @@
         """Return a pause that few readers keep short and the rest stretch."""
         pause_s = PAUSE_S
         if not self.is_reader():
-            pause_s = min(MAX_PAUSE_S, PAUSE_S * 2**self._failures)
+            doubled_s = PAUSE_S * 2 ** min(self.outage.failures, DOUBLINGS)
+            pause_s = min(MAX_PAUSE_S, doubled_s)
         return pause_s * self.luck.uniform(*SPREAD)
 
     def _note_failure(self, error: StoreError) -> None:
-        self._failures += 1
+        self.outage.note_failure(self.clock(), self._find_pause_s())
         self.count('store read failed')
-        if self._failures == 1:
+        if not self._lost:
             log_event('store lost', topic=self.topic.value, error=str(error))
+        self._lost = True
--- /dev/null
+++ b/tests/test_watcher.py
@@ -0,0 +1,80 @@
+"""Reading the store: few calls in an outage, news at once after it."""
+
+import random
+from collections import Counter
+
+import anyio
+
+from ibisplank.gateway._outage import StoreOutage
+from ibisplank.gateway._watcher import MAX_PAUSE_S, PAUSE_S, SPREAD, Watcher
+from ibisplank.store import MemoryRows, Reading, Topic
+
+OUTAGE_S = 3.0
+
+
+class Gateway:
+    """Three watchers over one store, as a gateway has them."""
+
+    def __init__(self, store: MemoryRows, *, reader: bool) -> None:
+        self.readings: list[Reading] = []
+        self.events: Counter[str] = Counter()
+        self._versions = dict.fromkeys(Topic, 0)
+        self._read_at = dict.fromkeys(Topic, float('-inf'))
+        outage = StoreOutage()
+        self.watchers = [
+            Watcher(
+                topic,
+                store,
+                self._take,
+                lambda: reader,
+                lambda topic=topic: anyio.current_time() - self._read_at[topic],
+                lambda topic=topic: self._versions[topic],
+                random.Random(1),
+                self._count,
+                outage,
+                anyio.current_time,
+            )
+            for topic in Topic
+        ]
+
+    def _count(self, event: str) -> None:
+        self.events[event] += 1
+
+    def _take(self, reading: Reading) -> None:
+        self.readings.append(reading)
+        self._versions[reading.topic] = reading.version
+        self._read_at[reading.topic] = anyio.current_time()
+
+
+def count_failed(*, reader: bool) -> int:
+    """Return the failed calls of one gateway in an outage."""
+
+    async def run() -> int:
+        store = MemoryRows()
+        store.write(Topic.OPERATOR, 'a', b'1')
+        store.down = True
+        gateway = Gateway(store, reader=reader)
+        async with anyio.create_task_group() as group:
+            for watcher in gateway.watchers:
+                group.start_soon(watcher.run)
+            await anyio.sleep(OUTAGE_S)
+            failed = gateway.events['store read failed']
+            store.down = False
+            with anyio.fail_after(MAX_PAUSE_S * SPREAD[1] + 0.3):
+                while {each.topic for each in gateway.readings} != set(Topic):
+                    await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+        return failed
+
+    return anyio.run(run)
+
+
+def test_a_reader_asks_a_store_that_is_down_once_a_pause() -> None:
+    """Not once for each topic."""
+    most = OUTAGE_S / (PAUSE_S * SPREAD[0]) + len(Topic)
+    assert 5 <= count_failed(reader=True) <= most
+
+
+def test_other_gateways_ask_more_seldom() -> None:
+    most = OUTAGE_S / (MAX_PAUSE_S * SPREAD[0]) + len(Topic) + 3
+    assert 2 <= count_failed(reader=False) <= most
