Call one piece of code for hop headers and rendezvous hashing

Found by reading the change: gateway/_job.py listed again the headers of one hop that request/_call.py has, and choose_pacer repeated the loop of choose_trial. Both now call HOP_HEADERS and choose_by_hash. Unused and gone: Forwarder._waiting, Dialect.ready_path, the exports of Ping and Pong. No change of behaviour; the gateway's tests, the linters and mypy pass.

--- a/ibisplank/connection/__init__.py
+++ b/ibisplank/connection/__init__.py
@@ -33,6 +33,7 @@
     ServerNews,
     VmNews,
 )
+from ibisplank.connection._hops import HOP_HEADERS
 from ibisplank.connection._lending import (
     ANY_SLOT,
     AnswerReport,
@@ -60,12 +61,13 @@
     Envelope,
     Message,
 )
-from ibisplank.connection._news import Ping, Pong, ServerLoads, ServerReport
+from ibisplank.connection._news import ServerLoads, ServerReport
 from ibisplank.connection._peer import LinkOwner, PeerLink, PeerServer
 from ibisplank.connection._tls import PeerTls, TlsFiles
 
 __all__ = (
     'ANY_SLOT',
+    'HOP_HEADERS',
     'LOAD_HEADER',
     'PROVEN_S',
     'Answer',
@@ -92,8 +94,6 @@
     'PeerLink',
     'PeerServer',
     'PeerTls',
-    'Ping',
-    'Pong',
     'PermitAsk',
     'PermitGrant',
     'PermitMessage',
--- a/ibisplank/gateway/_dialect.py
+++ b/ibisplank/gateway/_dialect.py
@@ -33,7 +33,6 @@
     server_load: bytes
     warmup_left: bytes
     server_id: bytes
-    ready_path: str
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
--- a/ibisplank/gateway/_forwarder.py
+++ b/ibisplank/gateway/_forwarder.py
@@ -85,7 +85,6 @@
         self._luck: random.Random = placer.luck
         self._shares: dict[ServiceId, RetryShare] = {}
         self._usual: dict[RouteName, UsualLatency] = {}
-        self._waiting: set[Race] = set()
 
     def learn_retry(self, retry: RetryTerms) -> None:
         """Take in another bound on retries."""
--- a/ibisplank/gateway/_front.py
+++ b/ibisplank/gateway/_front.py
@@ -4,11 +4,17 @@
 
 import anyio
 
-from ibisplank.connection import Receive, Scope, Send, answer, read_body
+from ibisplank.connection import (
+    HOP_HEADERS,
+    Receive,
+    Scope,
+    Send,
+    answer,
+    read_body,
+)
 from ibisplank.gateway._dialect import Dialect, Headers
 from ibisplank.gateway._forwarder import Forwarder
 from ibisplank.gateway._job import (
-    HOP_HEADERS,
     Job,
     Rejection,
     find_final_at,
--- a/ibisplank/gateway/_job.py
+++ b/ibisplank/gateway/_job.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ibisplank.connection import Scope
+from ibisplank.connection import HOP_HEADERS, Scope
 from ibisplank.gateway._dialect import Dialect, Headers, find_header
 from ibisplank.gateway._model import CallerLimits, RouteTerms
 from ibisplank.gateway._routing import RouteTable
@@ -13,22 +13,6 @@
 HEADERS_TOO_LARGE = 431
 #: Bytes of a header line beside its name and content.
 LINE_BYTES = 4
-#: Headers that concern one connection only.
-HOP_HEADERS = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-authorization',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-        b'expect',
-        b'content-length',
-    ),
-)
 
 
 @dataclass(frozen=True, slots=True)
--- a/ibisplank/gateway/_pacing.py
+++ b/ibisplank/gateway/_pacing.py
@@ -2,9 +2,8 @@
 
 from collections.abc import Iterable
 
-import xxhash
-
 from ibisplank.ids import MemberId, ServerId
+from ibisplank.rendezvous import choose_by_hash
 
 #: Rate at which the pacing gateway sends, of that which the server bears.
 PACE_SHARE = 0.9
@@ -24,14 +23,7 @@
     >>> choose_pacer(ServerId('s'), [MemberId('m')])
     'm'
     """
-    best: MemberId | None = None
-    top = -1
-    for member in members:
-        score = xxhash.xxh3_64_intdigest(f'{server}/{member}'.encode())
-        if score > top:
-            best = member
-            top = score
-    return best
+    return choose_by_hash(server, members)
 
 
 class ColdPace:
--- a/ibisplank/platform/_names.py
+++ b/ibisplank/platform/_names.py
@@ -23,5 +23,4 @@
     server_load=b'x-upstream-load',
     warmup_left=b'x-warmup-remaining',
     server_id=b'x-upstream-id',
-    ready_path='/ready',
 )
--- a/ibisplank/request/_call.py
+++ b/ibisplank/request/_call.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from ibisplank.connection import Scope
+from ibisplank.connection import HOP_HEADERS, Scope
 from ibisplank.errors import Refused
 from ibisplank.ids import CustomerId, Ran, RefusalKind, RequestId, ServiceId
 from ibisplank.version import (
@@ -27,25 +27,12 @@
 CLASS = b'ibisplank-class'
 RETRIED_ABOVE = b'ibisplank-retried-above'
 _BEARER = 'bearer '
-_HOP_BY_HOP = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-authorization',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-        b'expect',
-        b'authorization',
-        b'content-length',
-        b'host',
-        DEADLINE,
-        RETRIED_ABOVE,
-    ),
-)
+_HOP_BY_HOP = HOP_HEADERS | {
+    b'authorization',
+    b'host',
+    DEADLINE,
+    RETRIED_ABOVE,
+}
 
 Headers = list[tuple[bytes, bytes]]
 
--- a/ibisplank/request/_suspects.py
+++ b/ibisplank/request/_suspects.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from ibisplank.ids import ServerId
+from ibisplank.rendezvous import choose_by_hash
 
 REMEMBER_S = 300.0
 MAX_SUSPECTS = 1000
@@ -113,11 +114,4 @@
     >>> choose_trial('d', ('a',))
     'a'
     """
-    best: ServerId | None = None
-    top = -1
-    for server in servers:
-        score = xxhash.xxh3_64_intdigest(f'{digest}/{server}'.encode())
-        if score > top:
-            best = server
-            top = score
-    return best
+    return choose_by_hash(digest, servers)
