--- a/ibisplank/connection/_gateways.py
+++ b/ibisplank/connection/_gateways.py
@@ -48,6 +48,9 @@
         Whether it answered in time.
     healthy : bool
         Whether it reports itself healthy.
+    rate_limit : float or None
+        Calls per second that it accepts from all gateways together, None if
+        it states no limit.
     """
 
     server: ServerId
@@ -60,6 +63,7 @@
     reachable: bool = True
     answers: bool = True
     healthy: bool = True
+    rate_limit: float | None = None
 
 
 class CompressedTableUpdate(
--- a/ibisplank/gateway/_forwarder.py
+++ b/ibisplank/gateway/_forwarder.py
@@ -257,12 +257,14 @@
                 stats.record_success(relative_latency, now)
                 self._find_latencies(active.call.route).add(latency_s)
                 self._record_step(
-                    active, chosen, 'answered', str(answer.status)
+                    active, chosen, 'answered', self._describe(answer)
                 )
                 active.plan.record_answer(answer, good=True)
             case AnswerKind.FAILURE:
                 stats.record_failure(now)
-                self._record_step(active, chosen, 'failed', str(answer.status))
+                self._record_step(
+                    active, chosen, 'failed', self._describe(answer)
+                )
                 active.plan.record_answer(answer, good=False)
             case AnswerKind.REFUSED:
                 stats.record_failure(now)
@@ -280,6 +282,14 @@
                     active, chosen, Outcome.UNKNOWN, f'bad {answer.status}'
                 )
 
+    def _describe(self, answer: Answer) -> str:
+        """Return the status and the rate limit of an answer, for the log."""
+        name = self._header_names.rate_limit
+        rate_limit = find_header(list(answer.headers), name)
+        if rate_limit is None:
+            return str(answer.status)
+        return f'{answer.status} limit={rate_limit.decode("latin-1")}'
+
     def _record_failure(
         self,
         active: ActiveCall,
--- a/ibisplank/gateway/_headers.py
+++ b/ibisplank/gateway/_headers.py
@@ -24,6 +24,9 @@
         Set in answers to calls that did not run.
     server_load : bytes
         Running and waiting calls, slots and slowdown of a backend server.
+    rate_limit : bytes
+        Calls per second that a backend server accepts from all gateways
+        together; unlimited if absent.
     warmup_left : bytes
         Remaining warm-up time of a backend server in seconds.
     server_id : bytes
@@ -36,6 +39,7 @@
     signature: bytes
     not_run: bytes
     server_load: bytes
+    rate_limit: bytes
     warmup_left: bytes
     server_id: bytes
 
--- a/ibisplank/gateway/_prober.py
+++ b/ibisplank/gateway/_prober.py
@@ -13,7 +13,7 @@
 from ibisplank.gateway._fleet import Fleet
 from ibisplank.gateway._headers import HeaderNames, find_header
 from ibisplank.gateway._pacing import choose_pacer
-from ibisplank.gateway._record import parse_load
+from ibisplank.gateway._record import parse_load, parse_rate_limit
 from ibisplank.ids import MemberId, ServerId
 from ibisplank.process import log_event
 
@@ -161,8 +161,16 @@
         cold_s = _parse_seconds(
             find_header(headers, self.header_names.warmup_left)
         )
+        rate_limit = parse_rate_limit(
+            find_header(headers, self.header_names.rate_limit)
+        )
         if load is None:
-            return ServerReport(entry.server, entry.born_ms, cold_s=cold_s)
+            return ServerReport(
+                entry.server,
+                entry.born_ms,
+                cold_s=cold_s,
+                rate_limit=rate_limit,
+            )
         return ServerReport(
             entry.server,
             entry.born_ms,
@@ -172,6 +180,7 @@
             load.slowdown,
             cold_s,
             healthy=answer.status == OK,
+            rate_limit=rate_limit,
         )
 
     def _handle_report(self, report: ServerReport) -> None:
@@ -199,10 +208,10 @@
     return _summarize(published) != _summarize(report)
 
 
-def _find_condition(report: ServerReport) -> tuple[bool, bool]:
-    """Return whether a server can be used, and whether it is cold."""
+def _find_condition(report: ServerReport) -> tuple[bool, bool, float | None]:
+    """Return whether a server can be used, is cold, and its rate limit."""
     usable = report.reachable and report.answers and report.healthy
-    return usable, report.cold_s > 0
+    return usable, report.cold_s > 0, report.rate_limit
 
 
 def _summarize(report: ServerReport) -> ServerReport:
--- a/ibisplank/gateway/_record.py
+++ b/ibisplank/gateway/_record.py
@@ -58,6 +58,19 @@
     return LoadReport(running, waiting, slots, max(slowdown, MIN_SLOWDOWN))
 
 
+def parse_rate_limit(text: bytes | None) -> float | None:
+    """Return the calls per second in a header, None without a valid limit.
+
+    >>> parse_rate_limit(b'1.8'), parse_rate_limit(b'none')
+    (1.8, None)
+    """
+    try:
+        limit = float(text or b'nan')
+    except ValueError:
+        return None
+    return limit if 0 <= limit < math.inf else None
+
+
 @dataclass(slots=True)
 class ServerStats:
     """Recent latency, failures and load of one backend server.
--- a/ibisplank/platform/_names.py
+++ b/ibisplank/platform/_names.py
@@ -21,6 +21,7 @@
     signature=b'x-response-signature',
     not_run=b'x-not-executed',
     server_load=b'x-upstream-load',
+    rate_limit=b'server-limit',
     warmup_left=b'x-warmup-remaining',
     server_id=b'x-upstream-id',
 )
