--- a/ibisplank/standin/_upstream.py
+++ b/ibisplank/standin/_upstream.py
@@ -55,6 +55,9 @@
     cold_until : float
         Time of the event loop until which the server is cold: calls take twice
         as long, and health answers state the time left.
+    rate_limit : float or None
+        Calls per second that all answers state as the limit of the server. It
+        is not enforced.
     """
 
     work_s: float = 0.02
@@ -65,6 +68,7 @@
     lose_share: float = 0.0
     healthy: bool = True
     cold_until: float = 0.0
+    rate_limit: float | None = None
 
 
 @dataclass(slots=True)
@@ -75,6 +79,8 @@
     ----------
     ran : list of str
         Request ids of the calls that began to run.
+    arrivals : list of float
+        Times of the event loop at which calls arrived.
     """
 
     entry: ServerEntry
@@ -83,6 +89,7 @@
     queue_limit: int = 4
     faults: UpstreamFaults = field(default_factory=UpstreamFaults)
     ran: list[str] = field(default_factory=list)
+    arrivals: list[float] = field(default_factory=list)
     running: int = 0
     waiting: int = 0
     _slot_freed: anyio.Event = field(default_factory=anyio.Event)
@@ -99,6 +106,7 @@
         if self.header_names.request_id not in headers:
             await self._answer_health(send)
             return
+        self.arrivals.append(anyio.current_time())
         target = headers.get(self.header_names.target_server, b'')
         if target and target != self.entry.server.encode():
             await self._refuse(send, MISDIRECTED_REQUEST)
@@ -156,6 +164,7 @@
                 (self.header_names.request_id, request_id),
                 (self.header_names.signature, signature),
                 (self.header_names.server_load, self._render_load()),
+                *self._render_rate_limit(),
             ),
         )
 
@@ -180,10 +189,17 @@
         fields = (self.running, self.waiting, self.entry.slots, slow_factor)
         return ','.join(map(str, fields)).encode()
 
+    def _render_rate_limit(self) -> tuple[tuple[bytes, bytes], ...]:
+        limit = self.faults.rate_limit
+        if limit is None:
+            return ()
+        return ((self.header_names.rate_limit, f'{limit:.1f}'.encode()),)
+
     async def _answer_health(self, send: Send) -> None:
         headers = [
             (self.header_names.server_id, self.entry.server.encode()),
             (self.header_names.server_load, self._render_load()),
+            *self._render_rate_limit(),
         ]
         warmup_left_s = self._compute_warmup_left_s()
         if warmup_left_s:
