Share the rate limit of a server among all gateways

Cause: placing followed predicted latency only; no gateway read the limit, and none knew what the others sent. Class: a limit over all gateways that each of them has to keep alone. The same class elsewhere: cold pacing and the retry budget already share theirs; probes have one owner a server.

The gateway that probes a server, and so sees its limit ten times a second, grants a token for each call to it, to itself and on request to others. Tokens come from one bucket at 0.95 of the limit, which starts empty, so their sum is right in any order of messages and over a handover. Replies later than 50 ms are not used. A gateway that knows no granter keeps to its even share of 0.05. The choice of a server moves out of the forwarder into _choice.py.

--- a/ibisplank/connection/__init__.py
+++ b/ibisplank/connection/__init__.py
@@ -12,7 +12,6 @@
     send_torn_answer,
 )
 from ibisplank.connection._backend import (
-    PROVEN_S,
     Answer,
     ConnectionPool,
     Exchange,
@@ -32,6 +31,8 @@
     CompressedTableUpdate,
     ServerLoads,
     ServerReport,
+    TokenReply,
+    TokenRequest,
 )
 from ibisplank.connection._headers import HOP_BY_HOP_HEADERS
 from ibisplank.connection._load import (
@@ -61,7 +62,7 @@
     Envelope,
     Message,
 )
-from ibisplank.connection._peer import LinkOwner, PeerLink, PeerServer
+from ibisplank.connection._peer import PeerLink, PeerServer
 from ibisplank.connection._replay import (
     ClaimMessage,
     ClaimReply,
@@ -78,7 +79,6 @@
     'ANY_SLOT',
     'HOP_BY_HOP_HEADERS',
     'LOAD_HEADER',
-    'PROVEN_S',
     'Answer',
     'App',
     'AttemptReport',
@@ -99,7 +99,6 @@
     'Hello',
     'HttpServer',
     'IdleSlots',
-    'LinkOwner',
     'LoadReport',
     'Message',
     'PeerLink',
@@ -128,6 +127,8 @@
     'SuspectMessage',
     'SuspectReport',
     'TlsFiles',
+    'TokenReply',
+    'TokenRequest',
     'VmListUpdate',
     'format_load',
     'make_server',
--- a/ibisplank/connection/_gateways.py
+++ b/ibisplank/connection/_gateways.py
@@ -66,6 +66,32 @@
     rate_limit: float | None = None
 
 
+class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag='tkq'):
+    """Request for a token to send one call to a rate-limited server.
+
+    Attributes
+    ----------
+    number : int
+        Number that the reply repeats.
+    """
+
+    server: ServerId
+    number: int
+
+
+class TokenReply(msgspec.Struct, frozen=True, array_like=True, tag='tkr'):
+    """Reply to a `TokenRequest`.
+
+    Attributes
+    ----------
+    wait_s : float
+        0 if a token is granted, else the time until there may be one.
+    """
+
+    number: int
+    wait_s: float
+
+
 class CompressedTableUpdate(
     msgspec.Struct, frozen=True, array_like=True, tag='pk'
 ):
@@ -96,5 +122,11 @@
 
 
 GatewayMessage = (
-    Ping | Pong | ServerLoads | ServerReport | CompressedTableUpdate
+    Ping
+    | Pong
+    | ServerLoads
+    | ServerReport
+    | TokenRequest
+    | TokenReply
+    | CompressedTableUpdate
 )
--- a/ibisplank/gateway/_fleet.py
+++ b/ibisplank/gateway/_fleet.py
@@ -1,6 +1,6 @@
 """Statistics of and connections to all backend servers."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 from dataclasses import dataclass, field
 
 from ibisplank.connection import ConnectionPool, ServerReport
@@ -11,6 +11,7 @@
 from ibisplank.gateway._partition import ServerPartition
 from ibisplank.gateway._placing import Candidate
 from ibisplank.gateway._record import LoadReport, ServerStats
+from ibisplank.gateway._tokens import SILENCE_RETRY_S, TokenClient
 from ibisplank.ids import MemberId, ServerId
 
 #: Calls per second to a cold server, if its service configures no rate.
@@ -48,6 +49,7 @@
     clock: Callable[[], float]
     cold_pacer: ColdServerPacer = field(default_factory=ColdServerPacer)
     occupancy: Occupancy = field(default_factory=Occupancy)
+    tokens: TokenClient = field(default_factory=TokenClient)
     on_start: Callable[[], None] = _ignore
     on_end: Callable[[], None] = _ignore
     _stats: dict[ServerKey, ServerStats] = field(default_factory=dict)
@@ -58,7 +60,7 @@
     def list_candidates(
         self,
         states: Iterable[ServerState],
-        tried: set[ServerId],
+        tried: Set[ServerId],
         now: float,
     ) -> list[Candidate]:
         """Return the servers among `states` that may get a call now."""
@@ -101,16 +103,44 @@
             if stats.in_flight
         }
 
-    def record_probe(self, report: ServerReport, now: float) -> None:
+    def record_probe(
+        self, report: ServerReport, prober: MemberId, now: float
+    ) -> None:
         """Record the result of a probe by this gateway or another."""
         state = self.cluster.directory.find(report.server)
         if state is None or state.entry.born_ms != report.born_ms:
             return
         stats = self.find_stats(report.server, report.born_ms)
         self._apply_probe(stats, report, now)
+        if report.reachable and report.answers:
+            stats.limit.record_report(report.rate_limit, prober, now)
         for notify in list(stats.probe_listeners):
             notify()
 
+    async def acquire_token(self, candidate: Candidate) -> bool:
+        """Return whether a rate-limited server may get a call now."""
+        now = self.clock()
+        limit = candidate.stats.limit
+        granter = limit.find_granter(now)
+        if granter is None:
+            wait_s = limit.take_ungranted(self.count_members(), now)
+        elif granter == self.member:
+            wait_s = limit.grant(now)
+        else:
+            wait_s = await self.tokens.request(granter, candidate.server)
+        limit.record_wait(wait_s, self.clock())
+        return not wait_s
+
+    def grant_token(self, server: ServerId, now: float) -> float:
+        """Grant a token to another gateway; return 0 or the time to wait."""
+        state = self.cluster.directory.find(server)
+        if state is None:
+            return SILENCE_RETRY_S
+        limit = self.find_stats(server, state.entry.born_ms).limit
+        if limit.rate is None or limit.find_granter(now) == self.member:
+            return limit.grant(now)
+        return SILENCE_RETRY_S
+
     def record_start(self, candidate: Candidate, now: float) -> None:
         """Record that a call was sent to a server."""
         candidate.stats.in_flight += 1
@@ -153,7 +183,7 @@
         """Return a candidate, None if its server may not get a call now."""
         server = state.entry.server
         stats = self.find_stats(server, state.entry.born_ms)
-        if stats.quarantined_until > now:
+        if stats.quarantined_until > now or not stats.limit.may_request(now):
             return None
         cold = state.cold_until > now
         if cold and not self._may_send_cold(server, now):
--- a/ibisplank/gateway/_forwarder.py
+++ b/ibisplank/gateway/_forwarder.py
@@ -2,7 +2,7 @@
 
 import functools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -12,7 +12,7 @@
 from ibisplank.errors import AttemptUnknown, ConnectFailed
 from ibisplank.gateway._answers import AnswerKind, classify_answer
 from ibisplank.gateway._budget import RetryLimits, ServiceRetryBudget
-from ibisplank.gateway._directory import ServerState
+from ibisplank.gateway._choice import AttemptNeeds, ServerChoice
 from ibisplank.gateway._fleet import Fleet
 from ibisplank.gateway._headers import HeaderNames, Headers, find_header
 from ibisplank.gateway._incoming import MS_PER_S, IncomingCall
@@ -28,7 +28,11 @@
     Respond,
     Wait,
 )
-from ibisplank.gateway._record import parse_load
+from ibisplank.gateway._record import (
+    ServerStats,
+    parse_load,
+    parse_rate_limit,
+)
 from ibisplank.gateway._routing import TrafficSplitter
 from ibisplank.ids import ServerId, ServiceId
 from ibisplank.process import log_event
@@ -89,7 +93,7 @@
         clock: Callable[[], float],
     ) -> None:
         self._fleet = fleet
-        self._selector = selector
+        self._choice = ServerChoice(fleet, selector, clock)
         self._header_names = header_names
         self._retry_limits = retry_limits
         self._metrics = metrics
@@ -121,7 +125,7 @@
             active.woken = anyio.Event()
             action = active.plan.decide(self._clock())
             if isinstance(action, Attempt):
-                action = self._start(active, action)
+                action = await self._start(active, action)
             match action:
                 case Respond():
                     return action
@@ -132,10 +136,12 @@
         with anyio.move_on_after(until - self._clock()):
             await active.woken.wait()
 
-    def _start(self, active: ActiveCall, action: Attempt) -> Action:
+    async def _start(self, active: ActiveCall, action: Attempt) -> Action:
         """Start an attempt, or return the next step if that is not possible."""
+        chosen = await self._choose(active)
         now = self._clock()
-        chosen = self._choose(active, now)
+        if now >= active.call.deadline_at:
+            return Wait(now)
         if chosen is None:
             return active.plan.deny_attempt(now, room=False)
         if action.is_retry and not self._take_retry(
@@ -149,28 +155,18 @@
         active.group.start_soon(self._attempt, active, chosen, now)
         return Wait(now)
 
-    def _choose(self, active: ActiveCall, now: float) -> Candidate | None:
-        """Return the best of the sampled servers, else of all servers."""
-        pool = self._fleet.partition.find_pool(active.service)
-        sampled = pool.sample(self._rng)
-        chosen = self._compare(active, sampled, now)
-        if chosen is not None:
-            return chosen
-        all_servers = pool.list_all()
-        if len(sampled) == len(all_servers):
-            return None
-        return self._compare(active, all_servers, now)
-
-    def _compare(
-        self,
-        active: ActiveCall,
-        states: Iterable[ServerState],
-        now: float,
-    ) -> Candidate | None:
-        """Return the best of some servers, None if none has room."""
-        candidates = self._fleet.list_candidates(states, active.tried, now)
-        at_most_once = not active.call.route.idempotent
-        return self._selector.choose(candidates, now, at_most_once=at_most_once)
+    async def _choose(self, active: ActiveCall) -> Candidate | None:
+        """Return the best server that may get the call now, if any."""
+        needs = AttemptNeeds(
+            active.service,
+            active.tried,
+            at_most_once=not active.call.route.idempotent,
+            hedge=active.plan.running > 0,
+        )
+        chosen, refused = await self._choice.choose(needs)
+        for candidate in refused:
+            self._record_step(active, candidate, 'no token')
+        return chosen
 
     def _take_retry(
         self, service: ServiceId, action: Attempt, now: float
@@ -245,9 +241,8 @@
     ) -> None:
         now = self._clock()
         stats = chosen.stats
-        load = find_header(list(answer.headers), self._header_names.server_load)
-        stats.record_report(parse_load(load), now)
         kind = classify_answer(answer, self._header_names)
+        self._record_statements(stats, kind, answer, now)
         match kind:
             case AnswerKind.GOOD:
                 latency_s = now - sent_at
@@ -282,6 +277,17 @@
                     active, chosen, Outcome.UNKNOWN, f'bad {answer.status}'
                 )
 
+    def _record_statements(
+        self, stats: ServerStats, kind: AnswerKind, answer: Answer, now: float
+    ) -> None:
+        """Record the load and the rate limit that a server states."""
+        headers = list(answer.headers)
+        load = find_header(headers, self._header_names.server_load)
+        stats.record_report(parse_load(load), now)
+        if kind is not AnswerKind.ELSEWHERE:
+            limit = find_header(headers, self._header_names.rate_limit)
+            stats.limit.record_answer(parse_rate_limit(limit), now)
+
     def _describe(self, answer: Answer) -> str:
         """Return the status and the rate limit of an answer, for the log."""
         name = self._header_names.rate_limit
--- a/ibisplank/gateway/_mesh.py
+++ b/ibisplank/gateway/_mesh.py
@@ -13,6 +13,8 @@
     PeerServer,
     ServerLoads,
     ServerReport,
+    TokenReply,
+    TokenRequest,
 )
 from ibisplank.gateway._cluster import ClusterState
 from ibisplank.gateway._decoding import MemberRecord
@@ -71,6 +73,7 @@
         self._publisher = LoadPublisher(
             self.fleet, self._send_group, self.clock
         )
+        self.fleet.tokens.send = self._links.send
         self.fleet.on_start = self._publisher.publish
         self.fleet.on_end = self._publisher.record_end
 
@@ -193,7 +196,12 @@
             case ServerLoads(counts):
                 self.fleet.occupancy.update(member, counts, self.clock())
             case ServerReport():
-                self.fleet.record_probe(message, self.clock())
+                self.fleet.record_probe(message, member, self.clock())
+            case TokenRequest(server, number):
+                wait_s = self.fleet.grant_token(server, self.clock())
+                self._links.send(member, TokenReply(number, wait_s))
+            case TokenReply():
+                self.fleet.tokens.record_reply(message)
 
     def _connect_back(self, member: MemberId, address: str) -> None:
         if self._group is None or self._is_known(member):
--- a/ibisplank/gateway/_placing.py
+++ b/ibisplank/gateway/_placing.py
@@ -27,6 +27,8 @@
 #: Cost of a server without a recent load report: the average cost of the
 #: slowdown of a server.
 STALE_REPORT_COST = 0.75
+#: Cost of a server that states a rate limit, as it is in need.
+LIMITED_COST = 0.2
 #: Queued calls per slot above which a server may drop calls.
 MAX_QUEUED_PER_SLOT = 1.0
 
@@ -54,6 +56,11 @@
         """Id of the server."""
         return self.state.entry.server
 
+    @property
+    def limited(self) -> bool:
+        """Whether a call to the server needs a token."""
+        return self.stats.limit.rate is not None
+
     def describe(self, now: float) -> str:
         """Return the figures that the choice depends on, for the log."""
         load = self.stats.find_load(now, self.peer_calls)
@@ -121,8 +128,8 @@
     ) -> float:
         """Return the predicted latency relative to an idle local server.
 
-        It includes the costs of failures, of another zone, of a cold server
-        and of a report that is outdated.
+        It includes the costs of failures, of another zone, of a cold or
+        rate-limited server and of a report that is outdated.
         """
         stats = candidate.stats
         slots = max(1, candidate.state.entry.slots)
@@ -136,6 +143,8 @@
         cost += stats.find_staleness(now) * STALE_REPORT_COST
         if candidate.cold:
             cost += COLD_COST
+        if candidate.limited:
+            cost += LIMITED_COST
         return cost
 
     def _is_local(self, candidate: Candidate) -> bool:
--- a/ibisplank/gateway/_prober.py
+++ b/ibisplank/gateway/_prober.py
@@ -185,7 +185,7 @@
 
     def _handle_report(self, report: ServerReport) -> None:
         now = self.clock()
-        self.fleet.record_probe(report, now)
+        self.fleet.record_probe(report, self.member, now)
         published = self._published.get(report.server)
         self._published[report.server] = report
         if published is not None and not _differ(published, report):
--- a/ibisplank/gateway/_record.py
+++ b/ibisplank/gateway/_record.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ibisplank.gateway._ratelimit import StatedLimit
 from ibisplank.ids import ServerId
 
 #: EWMA weight of the newest answer in the slowdown of a server.
@@ -92,6 +93,8 @@
         Functions that are called after each probe.
     report_at : float
         Time from which the weight of the load report decays.
+    limit : StatedLimit
+        Rate limit that the server states.
     """
 
     server: ServerId
@@ -103,6 +106,7 @@
     probe_listeners: set[Callable[[], None]] = field(default_factory=set)
     report: LoadReport | None = None
     report_at: float = 0.0
+    limit: StatedLimit = field(default_factory=StatedLimit)
     _slowdown_at: float = 0.0
     _failure_at: float = 0.0
 
--- a/tests/test_cell_answers.py
+++ b/tests/test_cell_answers.py
@@ -11,7 +11,7 @@
 from bench.common import write_contract as put_contract
 from harness.cell import Cell, ServiceShape
 from harness.processes import paused, wait_for
-from ibisplank.connection import PROVEN_S
+from ibisplank.connection._backend import PROVEN_S
 from tests.callers import (
     SERVICE,
     call,
