Bound the bytes of an answer

A body without a length, with a huge one, or in one endless chunk was collected in memory until the deadline of the call, and interim answers (100 Continue) were skipped just as long, with the event loop blocked for each 64 KiB read. Cause: only the time of an exchange was bounded, not its bytes. Elsewhere: heads of callers and their bodies have limits; the store's answers have none, and are trusted.

A stream under the HTTP parser now counts: over 128 KiB before the head is complete, or 4 MiB after, the read fails, the connection is closed, and the call goes on as after any lost answer.

tests/test_bytes.py plays six kinds of endless answers. Now all six end within 4 MiB and what sockets buffer.

--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -7,6 +7,7 @@
 import httpcore
 import msgspec
 
+from ibisplank.connection._stream import BoundedStream
 from ibisplank.errors import (
     AlienAnswer,
     AttemptUnknown,
@@ -32,6 +33,10 @@
 #: earlier, it has probably restarted.
 MIN_SERVER_IDLE_S = 2.0
 CONNECT_TIMEOUT_S = 0.25
+#: A connection on which the head of an answer, or the whole answer, is longer
+#: is closed, as its server may send bytes without end.
+MAX_HEAD_BYTES = 131072
+MAX_ANSWER_BYTES = 4194304
 FIRST_SUCCESS = 200
 FIRST_REDIRECT = 300
 NO_BODY_STATUSES = frozenset((204, 304))
@@ -97,12 +102,14 @@
     def __init__(
         self,
         raw: httpcore.AsyncHTTP11Connection,
+        stream: BoundedStream,
         origin: httpcore.URL,
         now: float,
     ) -> None:
         self.answered_at = now
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self._raw = raw
+        self._stream = stream
         self._origin = origin
 
     @property
@@ -126,13 +133,14 @@
         SilentConnection
             A read timed out before the head of the answer was complete.
         TornAnswer
-            The answer ended early or stalled, or its length can't be
-            verified.
+            The answer ended early, stalled or is too long, or its length
+            can't be verified.
         AlienAnswer
             The `echo` header has another content or, in a 2xx answer, is
             missing.
         AttemptUnknown
-            The connection failed before the head of the answer arrived.
+            The connection failed before the head of the answer arrived, or
+            the head is too long.
         """
         request = httpcore.Request(
             exchange.method,
@@ -146,12 +154,14 @@
             content=exchange.body,
             extensions={'timeout': {'read': exchange.first_byte_s}},
         )
+        self._stream.allow(MAX_HEAD_BYTES)
         try:
             response = await self._raw.handle_async_request(request)
         except httpcore.ReadTimeout as error:
             raise SilentConnection('no first byte in time') from error
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             raise AttemptUnknown(str(error)) from error
+        self._stream.allow(MAX_ANSWER_BYTES)
         answer = await _read_answer(exchange, response)
         self.idle_limit_s = _find_idle_limit_s(answer.headers)
         return answer
@@ -332,8 +342,9 @@
         except httpcore.NetworkError as error:
             raise ConnectFailed(str(error)) from error
         origin = httpcore.Origin(b'http', self._host.encode(), self._port)
-        raw = httpcore.AsyncHTTP11Connection(origin, stream)
-        return Connection(raw, self._origin, self._clock())
+        bounded = BoundedStream(stream)
+        raw = httpcore.AsyncHTTP11Connection(origin, bounded)
+        return Connection(raw, bounded, self._origin, self._clock())
 
     async def _close_idle_since(self, answered_at: float) -> None:
         """Close idle connections that last answered at a given time or earlier.
--- a/tests/test_bytes.py
+++ b/tests/test_bytes.py
@@ -10,6 +10,7 @@
 from harness.proxy import DISCONNECT_ERRORS
 from harness.site import Site, run_site
 from ibisplank.connection import Answer, ConnectionPool, Exchange
+from ibisplank.connection._backend import MAX_ANSWER_BYTES, MAX_HEAD_BYTES
 from ibisplank.errors import BackendError
 from ibisplank.gateway import DeliverySemantics
 from ibisplank.platform import HEADER_NAMES
@@ -25,6 +26,8 @@
     b'6\r\nwhole \r\n4\r\nbody\r\n0\r\n\r\n'
 )
 TIMEOUT_S = 0.2
+#: Longest time that callers wait for an answer today.
+ENDLESS_TIMEOUT_S = 2.0
 
 
 def make_exchange() -> Exchange:
@@ -103,6 +106,53 @@
     assert declared is None or int(declared) == len(answer.body)
 
 
+ENDLESS_HEADS = (b'garbage ', b'HTTP/1.1 100 Continue\r\n\r\n', HEAD)
+ENDLESS_BODIES = (
+    HEAD + b'\r\n',
+    HEAD + b'content-length: 999999999999\r\n\r\n',
+    HEAD + b'transfer-encoding: chunked\r\n\r\nffffffff\r\n',
+)
+#: The script stops after this, should the caller never close.
+MOST_SENT = 64 * MAX_ANSWER_BYTES
+#: What sockets may buffer in addition to what the caller reads.
+SOCKET_BUFFERS = 16 * 1024 * 1024
+
+
+async def count_until_closed(first: bytes, repeated: bytes) -> int:
+    """Return how many bytes of an endless answer a server can send."""
+    sent = 0
+
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        nonlocal sent
+        await stream.receive()
+        block = repeated * (65536 // len(repeated))
+        with contextlib.suppress(*DISCONNECT_ERRORS):
+            await stream.send(first)
+            while sent < MOST_SENT:
+                await stream.send(block)
+                sent += len(block)
+
+    async with serving_stream(serve) as address:
+        pool = ConnectionPool(address, read_clock)
+        with anyio.fail_after(ENDLESS_TIMEOUT_S), pytest.raises(BackendError):
+            await pool.exchange(make_exchange())
+    return sent
+
+
+@pytest.mark.parametrize('line', ENDLESS_HEADS)
+def test_endless_bytes_in_a_head_end_the_connection(line: bytes) -> None:
+    repeated = line if line != HEAD else b'x-name: value\r\n'
+    first = HEAD if line == HEAD else line
+    sent = anyio.run(count_until_closed, first, repeated)
+    assert sent <= MAX_HEAD_BYTES + SOCKET_BUFFERS
+
+
+@pytest.mark.parametrize('head', ENDLESS_BODIES)
+def test_endless_bytes_in_a_body_end_the_connection(head: bytes) -> None:
+    sent = anyio.run(count_until_closed, head, b'no answer')
+    assert sent <= MAX_ANSWER_BYTES + SOCKET_BUFFERS
+
+
 SMUGGLED = b'GET /a/evil HTTP/1.1\r\nhost: host.example\r\n'
 SMUGGLED += HEADER_NAMES.request_id + b': evil\r\n\r\n'
 
