Log the era of the store, and rows left out as older

The adapter reads the era in the header of each answer; its change is logged with the versions on both sides, and so is each row that differs from a known one and is left out.

--- a/ibisplank/gateway/_cluster.py
+++ b/ibisplank/gateway/_cluster.py
@@ -56,6 +56,14 @@
         rows = self.rows[update.topic]
         if rows.is_contiguous(update):
             self.freshness[update.topic].record(update.store_s, now)
+        for row in rows.list_superseded(update):
+            log_event(
+                'older row left out',
+                topic=update.topic.value,
+                key=row.key,
+                version=row.version,
+                era=update.era,
+            )
         changed = rows.merge(update)
         for row in changed:
             decoded = self.decode(update.topic, row)
--- a/ibisplank/gateway/_rowset.py
+++ b/ibisplank/gateway/_rowset.py
@@ -29,6 +29,16 @@
             self.version = max(self.version, update.version)
         return changed
 
+    def list_superseded(self, update: TableUpdate) -> list[VersionedRow]:
+        """Return the rows of an update that are older than the known ones."""
+        return [
+            row
+            for row in update.rows
+            if row.key in self._rows
+            and self._rows[row.key].version >= row.version
+            and self._rows[row.key].content != row.content
+        ]
+
     def is_contiguous(self, update: TableUpdate) -> bool:
         """Return whether an update leaves no gap after the known changes."""
         return update.is_snapshot or update.after <= self.version
--- a/ibisplank/gateway/_watcher.py
+++ b/ibisplank/gateway/_watcher.py
@@ -75,6 +75,7 @@
     backoff: StoreBackoff
     clock: Callable[[], float]
     _read_count: int = 0
+    _era: int = 0
     _history_lost: bool = False
     _store_lost: bool = False
 
@@ -109,6 +110,16 @@
         self._store_lost = False
         self._history_lost = False
         self._read_count += 1
+        if update.era != self._era:
+            log_event(
+                'store era changed',
+                topic=self.topic.value,
+                era=update.era,
+                previous=self._era,
+                version=update.version,
+                known_version=self.find_version(),
+            )
+        self._era = update.era
         self.on_update(update)
         if update.rows:
             await anyio.sleep(UPDATE_PAUSE_S[self.topic])
--- a/ibisplank/platform/_client.py
+++ b/ibisplank/platform/_client.py
@@ -2,6 +2,7 @@
 
 import base64
 from collections.abc import Mapping
+from dataclasses import dataclass
 from types import MappingProxyType
 from urllib.parse import urlencode
 
@@ -11,6 +12,7 @@
 
 from ibisplank.errors import HistoryGone, OutcomeUnknown, StoreDown
 from ibisplank.platform._names import (
+    ERA_HEADER,
     FEED_PATH,
     LIST_PATH,
     MEMBER_TABLE,
@@ -64,6 +66,14 @@
     has_more: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Page:
+    """One answer of the store to a read, with the era in its header."""
+
+    body: RowsBody
+    era: int
+
+
 class HttpRowStore:
     """Reads and writes rows of the platform's store over HTTP.
 
@@ -87,12 +97,19 @@
         of `MAX_LISTINGS` listings. The rows of the last listing are then of
         different versions, and the version returned is that of its first
         page: reading the changes after it brings the rows up to date.
+
+        Raises
+        ------
+        StoreDown
+            The store did not answer, or was restored between the pages.
         """
         for _ in range(MAX_LISTINGS):
             pages = await self._list_pages(topic, timeout_s)
-            if len({page.row_version for page in pages}) == 1:
+            if len({(page.era, page.body.row_version) for page in pages}) == 1:
                 break
-        rows = [row for page in pages for row in page.rows]
+        if len({page.era for page in pages}) > 1:
+            raise StoreDown('restored while a table was listed')
+        rows = [row for page in pages for row in page.body.rows]
         # A change between pages comes after the first page's version, so the
         # next read of changes returns it.
         return _make_update(topic, pages[0], rows, is_snapshot=True)
@@ -119,9 +136,9 @@
         response = await self._read(FEED_PATH, query, timeout_s)
         if response.status == GONE:
             raise HistoryGone(topic.value)
-        body = _decode(response)
+        page = _decode(response)
         return _make_update(
-            topic, body, body.rows, is_snapshot=False, after=after
+            topic, page, page.body.rows, is_snapshot=False, after=after
         )
 
     async def put_row(
@@ -165,8 +182,8 @@
         self,
         topic: Topic,
         timeout_s: float,
-    ) -> list[RowsBody]:
-        pages: list[RowsBody] = []
+    ) -> list[Page]:
+        pages: list[Page] = []
         query: dict[str, object] = {
             'table': _TABLES[topic],
             'part': '',
@@ -175,9 +192,9 @@
         while True:
             page = _decode(await self._read(LIST_PATH, query, timeout_s))
             pages.append(page)
-            if not page.has_more or not page.rows:
+            if not page.body.has_more or not page.body.rows:
                 return pages
-            query['from'] = f'{page.rows[-1].key}\0'
+            query['from'] = f'{page.body.rows[-1].key}\0'
 
     async def _read(
         self,
@@ -209,18 +226,27 @@
             )
 
 
-def _decode(response: httpcore.Response) -> RowsBody:
+def _decode(response: httpcore.Response) -> Page:
     if response.status != OK:
         raise StoreDown(f'answered with status {response.status}')
     try:
-        return msgspec.json.decode(response.content, type=RowsBody)
+        body = msgspec.json.decode(response.content, type=RowsBody)
     except msgspec.DecodeError as error:
         raise StoreDown(f'invalid answer: {error}') from error
+    return Page(body, _find_era(response))
+
+
+def _find_era(response: httpcore.Response) -> int:
+    """Return the era in the header of an answer, 0 without one."""
+    for name, text in response.headers:
+        if name.lower() == ERA_HEADER and text.isdigit():
+            return int(text)
+    return 0
 
 
 def _make_update(
     topic: Topic,
-    body: RowsBody,
+    page: Page,
     rows: list[RowBody],
     *,
     is_snapshot: bool,
@@ -230,9 +256,10 @@
         topic,
         tuple(map(_make_row, rows)),
         is_snapshot,
-        body.row_version,
-        body.now_s,
+        page.body.row_version,
+        page.body.now_s,
         after,
+        page.era,
     )
 
 
--- a/ibisplank/store/_rows.py
+++ b/ibisplank/store/_rows.py
@@ -48,6 +48,9 @@
         Latest version of the store at the time of the read.
     store_s : float
         The store's monotonic clock at the time of the read, in seconds.
+    era : int
+        Number of times that the store was restored from a copy. Versions are
+        comparable within an era only.
     """
 
     topic: Topic
@@ -56,6 +59,7 @@
     version: int
     store_s: float
     after: int = 0
+    era: int = 0
 
 
 class RowStore(Protocol):
