--- a/ibisplank/platform/_standin.py
+++ b/ibisplank/platform/_standin.py
@@ -10,6 +10,7 @@
 from ibisplank.platform._client import GONE, OK, RowBody, RowsBody
 from ibisplank.platform._names import (
     CONFIG_KEY,
+    ERA_HEADER,
     EVACUATE_PREFIX,
     FEED_PATH,
     LIST_PATH,
@@ -128,6 +129,11 @@
     return GONE, b'{}'
 
 
+def encode_era(era: int) -> tuple[bytes, bytes]:
+    """Return the header of an answer that names the era of the store."""
+    return ERA_HEADER, str(era).encode()
+
+
 def encode_config(config: RoutingConfig) -> tuple[str, bytes]:
     """Return the key and content of the row that holds a config."""
     body = ConfigBody(
--- a/ibisplank/standin/_store.py
+++ b/ibisplank/standin/_store.py
@@ -12,6 +12,7 @@
     FeedRequest,
     ListRequest,
     WriteRequest,
+    encode_era,
     encode_history_gone,
     encode_table_update,
     parse_request,
@@ -92,7 +93,8 @@
             if self.fault is StoreFault.LOST_WRITES and request is not None:
                 if isinstance(request, WriteRequest):
                     await anyio.sleep(HANG_S)
-            await send_answer(send, status, content)
+            era = encode_era(self.rows.era)
+            await send_answer(send, status, content, (era,))
 
     async def _inject_fault(self, scope: Scope, send: Send) -> bool:
         """Apply the active fault, and return whether it replaces the answer.
--- a/ibisplank/store/_rows.py
+++ b/ibisplank/store/_rows.py
@@ -102,16 +102,25 @@
     ----------
     down : bool
         Whether every call raises `StoreDown`.
+    era : int
+        Number of times that it was restored.
     """
 
     def __init__(self) -> None:
         self.down = False
         self.calls = 0
+        self.era = 0
         self._version = 0
         self._history_start = 0
         self._rows: dict[Topic, dict[str, VersionedRow]] = {}
+        self._log: list[tuple[Topic, VersionedRow]] = []
         self._changed = anyio.Event()
 
+    @property
+    def version(self) -> int:
+        """Version of the latest change."""
+        return self._version
+
     def write(self, topic: Topic, key: str, content: bytes | None) -> int:
         """Write a row as an operator or server would, and return its version.
 
@@ -119,11 +128,24 @@
         """
         self._version += 1
         row = VersionedRow(key, content or b'', self._version, content is None)
+        self._log.append((topic, row))
         self._rows.setdefault(topic, {})[key] = row
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._notify()
         return self._version
 
+    def restore(self, version: int) -> None:
+        """Return to the rows of a version, as from a copy taken then.
+
+        Later changes are lost, and their versions are given out again.
+        """
+        self._version = version
+        self._log = [each for each in self._log if each[1].version <= version]
+        self._rows = {}
+        for topic, row in self._log:
+            self._rows.setdefault(topic, {})[row.key] = row
+        self.era += 1
+        self._notify()
+
     def truncate_history(self) -> None:
         """Discard the history of changes up to the current version."""
         self._history_start = self._version
@@ -145,9 +167,11 @@
         with anyio.move_on_after(wait_s):
             while not self._list_changed(topic, after):
                 self._check()
+                if after > self._version:
+                    break
                 await self._changed.wait()
         self._check()
-        if after < self._history_start:
+        if after < self._history_start or after > self._version:
             raise HistoryGone(topic.value)
         rows = self._list_changed(topic, after)
         return self._make_update(topic, rows, is_snapshot=False, after=after)
@@ -183,5 +207,15 @@
     ) -> TableUpdate:
         now = anyio.current_time()
         return TableUpdate(
-            topic, tuple(rows), is_snapshot, self._version, now, after
+            topic,
+            tuple(rows),
+            is_snapshot,
+            self._version,
+            now,
+            after,
+            self.era,
         )
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
