Order the states of a row over restores of the store

Cause: versions of rows, which such a store gives out again, were compared across the restore, as a position to read on from and as the order of two states. Class: a number that is unique within one life of its source is used beyond it. The same in three more places, fixed here as they share the era: the age of the data, the grace for entries that are missing after an outage, and the row in which a gateway registers, which was written once.

Updates and rows bear the era that the store names in its answers. Within an era versions decide as before. Between eras the writer's own number does: the config's version, the start time and sequence number of a server. So rows of the copy that are older than known ones are left out, and whatever is written again is taken. A position of another era is dropped and the table listed.

--- a/harness/site.py
+++ b/harness/site.py
@@ -131,9 +131,9 @@
         key, content = encode_config(config)
         self.store.rows.write(Topic.OPERATOR, key, content)
 
-    def put_server_entry(self, entry: ServerEntry) -> None:
+    def put_server_entry(self, entry: ServerEntry, sequence: int = 0) -> None:
         """Write the entry of a backend server to the store."""
-        key, content = encode_server(entry)
+        key, content = encode_server(entry, sequence)
         self.store.rows.write(Topic.SERVERS, key, content)
 
     async def add_upstream(
--- a/ibisplank/gateway/_cluster.py
+++ b/ibisplank/gateway/_cluster.py
@@ -17,6 +17,7 @@
 from ibisplank.gateway._model import RoutingConfig
 from ibisplank.gateway._routing import RouteTable
 from ibisplank.gateway._rowset import RowSet
+from ibisplank.ids import ZoneId
 from ibisplank.process import log_event
 from ibisplank.store import TableUpdate, Topic, VersionedRow
 
@@ -30,6 +31,8 @@
     """Contents of the store with their versions and age.
 
     Versions only increase: an older row or config never replaces a newer one.
+    A row that is missing shortly after the store was restored may be written
+    again, and is not missed until then.
 
     Attributes
     ----------
@@ -50,12 +53,13 @@
     routes: RouteTable = field(
         default_factory=lambda: RouteTable(RoutingConfig()),
     )
+    _zones_returning: dict[ZoneId, float] = field(default_factory=dict)
 
     def apply(self, update: TableUpdate, now: float) -> list[VersionedRow]:
         """Merge an update; return the rows that it changed."""
         rows = self.rows[update.topic]
         if rows.is_contiguous(update):
-            self.freshness[update.topic].record(update.store_s, now)
+            self._record_freshness(update, now)
         for row in rows.list_superseded(update):
             log_event(
                 'older row left out',
@@ -69,13 +73,21 @@
             decoded = self.decode(update.topic, row)
             if decoded is not None:
                 self._apply_row(decoded, now)
+        self._return_zones(now)
         return changed
 
     def make_snapshot(self, topic: Topic) -> TableUpdate:
         """Return all known rows of a topic, for a peer."""
         rows = self.rows[topic]
         store_s = self.freshness[topic].newest_s
-        return TableUpdate(topic, rows.list_rows(), True, rows.version, store_s)
+        return TableUpdate(
+            topic,
+            rows.list_rows(),
+            is_snapshot=True,
+            version=rows.version,
+            store_s=store_s,
+            era=rows.era,
+        )
 
     def find_age(self, now: float) -> float:
         """Return the age of the older of the operator and server topics."""
@@ -88,23 +100,56 @@
         match decoded:
             case DecodedConfig(config):
                 self._apply_config(config)
-            case DecodedZone(zone, out):
-                cold_s = self._find_warmup_s()
-                self.directory.set_zone_out(zone, now, cold_s, out=out)
-                log_event('zone moved', zone=zone, out=out)
+            case DecodedZone():
+                self._apply_zone(decoded, now)
             case DecodedServer():
                 self._apply_server(decoded, now)
             case DecodedMember(vm, MemberRecord() as record):
                 self.members[vm] = record
             case DecodedMember(vm):
-                self.members.pop(vm, None)
+                if not self.freshness[Topic.MEMBERS].find_grace(now):
+                    self.members.pop(vm, None)
             case InvalidRow(key, reason, server):
                 log_event('row left out', key=key, reason=reason)
                 if server is not None:
                     self.directory.remove(server, now, grace_s=0.0)
 
+    def _record_freshness(self, update: TableUpdate, now: float) -> None:
+        freshness = self.freshness[update.topic]
+        if update.era > freshness.era:
+            log_event(
+                'store era changed',
+                topic=update.topic.value,
+                era=update.era,
+                previous=freshness.era,
+                version=update.version,
+                known_version=self.rows[update.topic].version,
+            )
+        freshness.record(update.store_s, now, update.era)
+
+    def _apply_zone(self, decoded: DecodedZone, now: float) -> None:
+        """Take a zone out at once; return it when no row can be missing."""
+        self._zones_returning.pop(decoded.zone, None)
+        if decoded.out:
+            self.directory.set_zone_out(decoded.zone, now, 0.0, out=True)
+            log_event('zone moved', zone=decoded.zone, out=True)
+            return
+        grace_s = self.freshness[Topic.OPERATOR].find_grace(now)
+        self._zones_returning[decoded.zone] = now + grace_s
+
+    def _return_zones(self, now: float) -> None:
+        for zone, returns_at in list(self._zones_returning.items()):
+            if now < returns_at:
+                continue
+            self._zones_returning.pop(zone)
+            cold_s = self._find_warmup_s()
+            self.directory.set_zone_out(zone, now, cold_s, out=False)
+            log_event('zone moved', zone=zone, out=False)
+
     def _apply_config(self, config: RoutingConfig) -> None:
-        if config.version <= self.config.version:
+        if config == self.config:
+            return
+        if config.version < self.config.version:
             log_event(
                 'older config left out',
                 version=config.version,
--- a/ibisplank/gateway/_freshness.py
+++ b/ibisplank/gateway/_freshness.py
@@ -22,6 +22,8 @@
     ----------
     newest_s : float
         Store time of the newest update.
+    era : int
+        Era of the newest update.
 
     Examples
     --------
@@ -33,12 +35,20 @@
     """
 
     newest_s: float = 0.0
+    era: int = 0
     _offset_s: float | None = None
     _updated_at: float = 0.0
     _recovered_at: float | None = None
 
-    def record(self, store_s: float, now: float) -> bool:
-        """Record an update; return whether it is the newest."""
+    def record(self, store_s: float, now: float, era: int = 0) -> bool:
+        """Record an update; return whether it is the newest.
+
+        A restore ends an outage, however short, and sets the store's clock.
+        """
+        if era < self.era:
+            return False
+        if era > self.era:
+            self._start_era(era, now)
         if self._offset_s is None or now - store_s < self._offset_s:
             self._offset_s = now - store_s
         if store_s <= self.newest_s:
@@ -49,6 +59,12 @@
         self._updated_at = now
         return True
 
+    def is_recent(self, store_s: float, era: int, tolerance_s: float) -> bool:
+        """Return whether an update is at most a bit older than the newest."""
+        if era == self.era:
+            return store_s > self.newest_s - tolerance_s
+        return era > self.era
+
     def find_age(self, now: float) -> float:
         """Return the age of the newest update, infinite before the first."""
         if self._offset_s is None:
@@ -60,3 +76,10 @@
         if self._recovered_at is None:
             return 0.0
         return max(0.0, self._recovered_at + EXPIRY_GRACE_S - now)
+
+    def _start_era(self, era: int, now: float) -> None:
+        if self._updated_at:
+            self._recovered_at = now
+        self.era = era
+        self.newest_s = 0.0
+        self._offset_s = None
--- a/ibisplank/gateway/_gateway.py
+++ b/ibisplank/gateway/_gateway.py
@@ -99,6 +99,9 @@
             settings.zone,
             settings.link_mbps,
         )
+        self._row_content = platform.encode_member(self._own)
+        self._registered_era: int | None = None
+        self._registration_lost = anyio.Event()
         self._fleet = Fleet(
             self.member,
             self.cluster,
@@ -192,7 +195,7 @@
     def _start_tasks(self, group: TaskGroup) -> None:
         group.start_soon(self._lines.run)
         group.start_soon(self._mesh.run)
-        group.start_soon(self._register)
+        group.start_soon(self._keep_registered)
         for topic in Topic:
             group.start_soon(self._make_watcher(topic).run)
         group.start_soon(self._prober.run)
@@ -207,7 +210,7 @@
             self._publish_update,
             self._mesh.is_reader,
             lambda: freshness.find_age(read_clock()),
-            lambda: rows.version,
+            lambda: (rows.era, rows.version),
             self._rng,
             self._metrics.count_event,
             self._backoff,
@@ -224,25 +227,44 @@
         self.cluster.apply(update, read_clock())
         if update.topic is Topic.MEMBERS:
             self._mesh.update_groups()
+            self._check_registration()
         self._apply_limits()
 
-    async def _register(self) -> None:
-        """Write the row of this gateway, with retries until it succeeds."""
-        content = self._platform.encode_member(self._own)
+    def _check_registration(self) -> None:
+        """Register again if the store has lost the row of this gateway.
+
+        A store that was restored from a copy has lost what it confirmed since.
+        """
+        rows = self.cluster.rows[Topic.MEMBERS]
+        if self._registered_era is None or rows.era <= self._registered_era:
+            return
+        row = rows.find(self._settings.vm)
+        if row is None or row.content != self._row_content:
+            self._registration_lost.set()
+
+    async def _keep_registered(self) -> None:
+        while True:
+            self._registered_era = await self._register()
+            self._registration_lost = anyio.Event()
+            self._check_registration()
+            await self._registration_lost.wait()
+
+    async def _register(self) -> int:
+        """Write the row of this gateway until it succeeds; return the era."""
         while True:
             try:
-                await self._store.put_row(
+                era = await self._store.put_row(
                     Topic.MEMBERS,
                     self._settings.vm,
-                    content,
+                    self._row_content,
                     REGISTER_TIMEOUT_S,
                 )
             except StoreError as error:
                 log_event('own row not written', error=str(error))
                 await anyio.sleep(self._rng.uniform(*REGISTER_RETRY_S))
                 continue
-            log_event('joined', member=self.member)
-            return
+            log_event('joined', member=self.member, era=era)
+            return era
 
     def _apply_limits(self) -> None:
         idle_s = self.cluster.config.limits.idle_timeout_s
--- a/ibisplank/gateway/_mesh.py
+++ b/ibisplank/gateway/_mesh.py
@@ -216,8 +216,8 @@
         more. A smaller difference is normal, as the newest one may be from the
         other reader.
         """
-        known_s = self.cluster.freshness[update.topic].newest_s
-        fresh = update.store_s > known_s - MEMBER_CHECK_S
+        freshness = self.cluster.freshness[update.topic]
+        fresh = freshness.is_recent(update.store_s, update.era, MEMBER_CHECK_S)
         if fresh:
             self.readers.record_update(reader, self.clock())
         self.on_update(update)
--- a/ibisplank/gateway/_watcher.py
+++ b/ibisplank/gateway/_watcher.py
@@ -56,8 +56,9 @@
         Returns whether this gateway is a reader for others.
     find_age : callable
         Returns the age of the data of the topic.
-    find_version : callable
-        Returns the version up to which all changes are known.
+    find_position : callable
+        Returns the era, and the version in it, up to which all changes are
+        known.
     count_event : callable
         Counts an event by name.
     backoff : StoreBackoff
@@ -69,13 +70,12 @@
     on_update: Callable[[TableUpdate], None]
     is_reader: Callable[[], bool]
     find_age: Callable[[], float]
-    find_version: Callable[[], int]
+    find_position: Callable[[], tuple[int, int]]
     rng: random.Random
     count_event: Callable[[str], None]
     backoff: StoreBackoff
     clock: Callable[[], float]
     _read_count: int = 0
-    _era: int = 0
     _history_lost: bool = False
     _store_lost: bool = False
 
@@ -110,22 +110,14 @@
         self._store_lost = False
         self._history_lost = False
         self._read_count += 1
-        if update.era != self._era:
-            log_event(
-                'store era changed',
-                topic=self.topic.value,
-                era=update.era,
-                previous=self._era,
-                version=update.version,
-                known_version=self.find_version(),
-            )
-        self._era = update.era
         self.on_update(update)
+        if update.era > self.find_position()[0]:
+            self._history_lost = True
         if update.rows:
             await anyio.sleep(UPDATE_PAUSE_S[self.topic])
 
     async def _read(self) -> TableUpdate:
-        after = self.find_version()
+        _, after = self.find_position()
         if self._history_lost or not after:
             return await self.store.list_rows(self.topic, ANSWER_MARGIN_S)
         wait_s = LONG_POLL_S[self.topic]
--- a/ibisplank/platform/_client.py
+++ b/ibisplank/platform/_client.py
@@ -20,6 +20,7 @@
     SERVER_TABLE,
     WRITE_PATH,
 )
+from ibisplank.platform._rows import find_stamp
 from ibisplank.store import TableUpdate, Topic, VersionedRow
 
 OK = 200
@@ -147,8 +148,8 @@
         key: str,
         content: bytes,
         timeout_s: float,
-    ) -> None:
-        """Write a row unconditionally.
+    ) -> int:
+        """Write a row unconditionally; return the era of the store.
 
         Raises
         ------
@@ -177,6 +178,7 @@
             raise OutcomeUnknown(repr(error)) from error
         if response.status != OK:
             raise StoreDown(f'answered with status {response.status}')
+        return _find_era(response)
 
     async def _list_pages(
         self,
@@ -254,7 +256,7 @@
 ) -> TableUpdate:
     return TableUpdate(
         topic,
-        tuple(map(_make_row, rows)),
+        tuple(_make_row(topic, row, page.era) for row in rows),
         is_snapshot,
         page.body.row_version,
         page.body.now_s,
@@ -263,6 +265,13 @@
     )
 
 
-def _make_row(row: RowBody) -> VersionedRow:
+def _make_row(topic: Topic, row: RowBody, era: int) -> VersionedRow:
     content = b'' if row.deleted else base64.b64decode(row.value)
-    return VersionedRow(row.key, content, row.row_version, row.deleted)
+    return VersionedRow(
+        row.key,
+        content,
+        row.row_version,
+        row.deleted,
+        era,
+        find_stamp(topic, row.key, content),
+    )
--- a/ibisplank/platform/_rows.py
+++ b/ibisplank/platform/_rows.py
@@ -107,6 +107,22 @@
     warmup_left_s: float = 0.0
     # Start time of the server in milliseconds.
     born: int = 0
+    sequence: int = 0
+
+
+class ConfigStampBody(msgspec.Struct, rename='camel'):
+    """The part of the config that orders its states."""
+
+    config_version: str
+
+
+class ServerStampBody(msgspec.Struct):
+    """The part of a row in table `servers` that orders its states."""
+
+    # Start time of the server in milliseconds.
+    born: int = 0
+    # Number of the server's reports since its start.
+    sequence: int = 0
 
 
 class MemberBody(msgspec.Struct):
@@ -136,6 +152,22 @@
         return InvalidRow(row.key, str(error), server)
 
 
+def find_stamp(topic: Topic, key: str, content: bytes) -> tuple[int, int]:
+    """Return what the writer of a row states about its order, or zeros."""
+    try:
+        match topic:
+            case Topic.OPERATOR if key == CONFIG_KEY:
+                config = msgspec.json.decode(content, type=ConfigStampBody)
+                return _parse_version(config.config_version), 0
+            case Topic.SERVERS:
+                server = msgspec.json.decode(content, type=ServerStampBody)
+                return server.born, server.sequence
+    except (msgspec.DecodeError, UndecodableRow, ValueError):
+        # A row that is deleted or can't be decoded states no order.
+        return 0, 0
+    return 0, 0
+
+
 def encode_member(record: MemberRecord) -> bytes:
     """Return the content of the row that registers a gateway."""
     body = MemberBody(
--- a/ibisplank/platform/_standin.py
+++ b/ibisplank/platform/_standin.py
@@ -159,8 +159,14 @@
     return CONFIG_KEY, msgspec.json.encode(body)
 
 
-def encode_server(entry: ServerEntry) -> tuple[str, bytes]:
-    """Return the key and content of the row that holds a backend server."""
+def encode_server(entry: ServerEntry, sequence: int = 0) -> tuple[str, bytes]:
+    """Return the key and content of the row that holds a backend server.
+
+    Parameters
+    ----------
+    sequence : int
+        Number of the server's reports since its start.
+    """
     body = ServerBody(
         entry.service,
         entry.address,
@@ -169,6 +175,7 @@
         'draining' if entry.draining else 'ready',
         entry.warmup_left_s,
         entry.born_ms,
+        sequence,
     )
     return entry.server, msgspec.json.encode(body)
 
--- a/ibisplank/store/_rows.py
+++ b/ibisplank/store/_rows.py
@@ -27,12 +27,19 @@
         Position of its latest change in the store's sequence of changes.
     deleted : bool
         Whether that change deleted the row.
+    era : int
+        Era in which the row was read.
+    stamp : tuple of int
+        Version that the writer of the row states in it, as far as versions of
+        the store do not show the order; zeros without one.
     """
 
     key: str
     content: bytes
     version: int
     deleted: bool = False
+    era: int = 0
+    stamp: tuple[int, int] = (0, 0)
 
 
 class TableUpdate(msgspec.Struct, frozen=True, array_like=True, tag='rd'):
@@ -91,8 +98,8 @@
         key: str,
         content: bytes,
         timeout_s: float,
-    ) -> None:
-        """Write a row unconditionally."""
+    ) -> int:
+        """Write a row unconditionally; return the era of the store."""
 
 
 class MemoryRowStore:
@@ -182,10 +189,11 @@
         key: str,
         content: bytes,
         timeout_s: float,
-    ) -> None:
-        """Write a row unconditionally."""
+    ) -> int:
+        """Write a row unconditionally; return the era of the store."""
         self._check()
         self.write(topic, key, content)
+        return self.era
 
     def _check(self) -> None:
         self.calls += 1
@@ -208,7 +216,7 @@
         now = anyio.current_time()
         return TableUpdate(
             topic,
-            tuple(rows),
+            tuple(msgspec.structs.replace(row, era=self.era) for row in rows),
             is_snapshot,
             self._version,
             now,
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -6,12 +6,19 @@
 import anyio
 
 from harness.site import Site, run_site
+from ibisplank.gateway._freshness import EXPIRY_GRACE_S
+from ibisplank.ids import ServerId, ZoneId
+from ibisplank.platform import make_evacuation_key
+from ibisplank.process import read_clock
 from ibisplank.standin import StoreFault
-from tests.gateways import SERVICE, make_config, make_route
+from ibisplank.store import Topic
+from tests.gateways import SERVICE, make_config, make_entry, make_route
 
 #: Required limit on the time until a new config takes effect, in seconds.
 CONFIG_S = 2.0
 OUTAGE_S = 0.5
+#: Longest wait of a gateway for changes of the members.
+REGISTERED_S = 5.0
 GATEWAYS = 2
 
 
@@ -60,3 +67,119 @@
                 assert answer.status == 200
 
     anyio.run(scenario)
+
+
+def test_older_config_of_the_copy_is_not_in_force() -> None:
+    """A gateway that starts after the restore gets the newest from others."""
+
+    async def scenario() -> None:
+        async with run_gateways() as site:
+            copied = site.store.rows.version
+            site.put_config(make_config(2, make_route('/new/')))
+            await wait_for_config(site, 2)
+            await restore(site, copied)
+            await site.add_gateway('vm-late')
+            await wait_for_config(site, 2)
+            await anyio.sleep(2 * CONFIG_S)
+            for gateway in site.gateways:
+                assert gateway.cluster.config.version == 2
+
+    anyio.run(scenario)
+
+
+def test_server_that_left_before_the_restore_gets_no_call() -> None:
+    async def scenario() -> None:
+        async with run_gateways() as site:
+            copied = await write_servers_again(site)
+            draining = make_entry('s0', draining=True)
+            site.put_server_entry(draining, sequence=4)
+            await anyio.sleep(0.5)
+            await restore(site, copied)
+            before = len(site.upstreams['s0'].arrivals)
+            await send_calls(site, 40)
+            site.store.rows.write(Topic.SERVERS, 's0', None)
+            await send_calls(site, 40)
+            assert len(site.upstreams['s0'].arrivals) == before
+
+    anyio.run(scenario)
+
+
+def test_server_that_was_removed_before_the_restore_gets_no_call() -> None:
+    async def scenario() -> None:
+        async with run_gateways() as site:
+            copied = await write_servers_again(site)
+            site.store.rows.write(Topic.SERVERS, 's0', None)
+            await anyio.sleep(0.5)
+            await restore(site, copied)
+            before = len(site.upstreams['s0'].arrivals)
+            await send_calls(site, 40)
+            assert len(site.upstreams['s0'].arrivals) == before
+
+    anyio.run(scenario)
+
+
+def test_server_that_the_copy_lacks_is_kept_for_the_grace_period() -> None:
+    async def scenario() -> None:
+        async with run_gateways() as site:
+            copied = site.store.rows.version
+            await site.add_upstream('late', SERVICE)
+            await site.wait_for_servers(3)
+            await restore(site, copied)
+            await anyio.sleep(EXPIRY_GRACE_S / 2)
+            cluster = site.gateways[0].cluster
+            state = cluster.directory.find(ServerId('late'))
+            assert state is not None
+            assert cluster.directory.is_eligible(state, read_clock())
+            await anyio.sleep(EXPIRY_GRACE_S)
+            assert not cluster.directory.is_eligible(state, read_clock())
+
+    anyio.run(scenario)
+
+
+def test_evacuation_that_the_copy_lacks_holds_until_written_again() -> None:
+    async def scenario() -> None:
+        async with run_gateways() as site:
+            copied = site.store.rows.version
+            key = make_evacuation_key('z1')
+            site.store.rows.write(Topic.OPERATOR, key, b'{}')
+            await anyio.sleep(0.5)
+            await restore(site, copied)
+            await anyio.sleep(EXPIRY_GRACE_S / 2)
+            site.store.rows.write(Topic.OPERATOR, key, b'{}')
+            for _ in range(30):
+                await anyio.sleep(0.1)
+                for gateway in site.gateways:
+                    zones_out = gateway.cluster.directory.zones_out
+                    assert zones_out == {ZoneId('z1')}
+
+    anyio.run(scenario)
+
+
+def test_gateways_register_again_if_the_copy_lacks_them() -> None:
+    async def scenario() -> None:
+        async with run_gateways() as site:
+            await restore(site, 0)
+            site.put_config(make_config(1, make_route('/a/')))
+            with anyio.fail_after(REGISTERED_S):
+                while not await list_registered(site) == {'vm-0', 'vm-1'}:
+                    await anyio.sleep(0.05)
+
+    anyio.run(scenario)
+
+
+async def write_servers_again(site: Site) -> int:
+    """Write the entry of each server with the next sequence number."""
+    for name, address in site.addresses.items():
+        site.put_server_entry(make_entry(name, address=address), sequence=1)
+    await anyio.sleep(0.5)
+    return site.store.rows.version
+
+
+async def list_registered(site: Site) -> set[str]:
+    update = await site.store.rows.list_rows(Topic.MEMBERS, 1.0)
+    return {row.key for row in update.rows}
+
+
+async def send_calls(site: Site, count: int) -> None:
+    for number in range(count):
+        await site.send_call(f'id{number}', gateway=number % GATEWAYS)
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -23,7 +23,7 @@
     def __init__(self, store: MemoryRowStore, *, reader: bool) -> None:
         self.updates: list[TableUpdate] = []
         self.events: Counter[str] = Counter()
-        self._versions = dict.fromkeys(Topic, 0)
+        self._positions = dict.fromkeys(Topic, (0, 0))
         self._read_at = dict.fromkeys(Topic, float('-inf'))
         backoff = StoreBackoff()
         self.watchers = [
@@ -33,7 +33,7 @@
                 self._on_update,
                 lambda: reader,
                 lambda topic=topic: anyio.current_time() - self._read_at[topic],
-                lambda topic=topic: self._versions[topic],
+                lambda topic=topic: self._positions[topic],
                 random.Random(1),
                 self._count,
                 backoff,
@@ -47,7 +47,7 @@
 
     def _on_update(self, update: TableUpdate) -> None:
         self.updates.append(update)
-        self._versions[update.topic] = update.version
+        self._positions[update.topic] = (update.era, update.version)
         self._read_at[update.topic] = anyio.current_time()
 
 
