--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -44,3 +44,20 @@
     freshness.record(store_s=1.0, now=101.0)
     freshness.record(store_s=1.0 + 1.45 + 0.13 + 1.2, now=101.0 + 2.78)
     assert freshness.find_grace(101.0 + 2.78) == 0
+
+
+def test_restore_starts_a_grace_period_and_the_store_clock_anew() -> None:
+    freshness = Freshness()
+    freshness.record(store_s=50.0, now=100.0, era=1)
+    assert freshness.record(store_s=3.0, now=101.0, era=2)
+    assert freshness.find_age(101.5) == 0.5
+    assert freshness.find_grace(101.0) == EXPIRY_GRACE_S
+
+
+def test_update_of_an_earlier_era_does_not_count() -> None:
+    freshness = Freshness()
+    freshness.record(store_s=3.0, now=100.0, era=2)
+    assert not freshness.record(store_s=60.0, now=101.0, era=1)
+    assert freshness.find_age(101.0) == 1.0
+    assert not freshness.is_recent(60.0, era=1, tolerance_s=0.5)
+    assert freshness.is_recent(0.5, era=3, tolerance_s=0.5)
