--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -51,7 +51,7 @@
     freshness.record(store_s=50.0, now=100.0, era=1)
     assert freshness.record(store_s=3.0, now=101.0, era=2)
     assert freshness.find_age(101.5) == 0.5
-    assert freshness.find_grace(101.0) == EXPIRY_GRACE_S
+    assert freshness.find_grace(101.0) == pytest.approx(EXPIRY_GRACE_S)
 
 
 def test_update_of_an_earlier_era_does_not_count() -> None:
