--- a/ibisplank/gateway/_ratelimit.py
+++ b/ibisplank/gateway/_ratelimit.py
@@ -28,19 +28,19 @@
 
     Examples
     --------
-    >>> bucket = TokenBucket(started_at=10.0)
+    >>> bucket = TokenBucket(updated_at=10.0)
     >>> bucket.take(2.0, 10.25), bucket.take(2.0, 10.5)
     (0.25, 0.0)
     """
 
-    started_at: float
+    updated_at: float
     _tokens: float = 0.0
 
     def take(self, rate: float, now: float) -> float:
         """Take a token; return 0 if it was taken, else the time to wait."""
-        accrued = max(0.0, now - self.started_at) * rate
+        accrued = max(0.0, now - self.updated_at) * rate
         self._tokens = min(BURST, self._tokens + accrued)
-        self.started_at = now
+        self.updated_at = now
         if self._tokens >= 1:
             self._tokens -= 1
             return 0.0
