--- a/ibisplank/platform/_client.py
+++ b/ibisplank/platform/_client.py
@@ -20,7 +20,7 @@
     SERVER_TABLE,
     WRITE_PATH,
 )
-from ibisplank.platform._rows import find_stamp
+from ibisplank.platform._stamps import find_stamp
 from ibisplank.store import TableUpdate, Topic, VersionedRow
 
 OK = 200
--- a/ibisplank/platform/_rows.py
+++ b/ibisplank/platform/_rows.py
@@ -29,9 +29,9 @@
 )
 from ibisplank.ids import MemberId, ServerId, ServiceId, ZoneId
 from ibisplank.platform._names import CONFIG_KEY, EVACUATE_PREFIX
+from ibisplank.platform._stamps import parse_version
 from ibisplank.store import Topic, VersionedRow
 
-_VERSION = re.compile('r([0-9]{1,18})')
 _ADDRESS = re.compile(r'(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})')
 _DRAINING_BY_STATE = MappingProxyType({'ready': False, 'draining': True})
 ROUTE_TYPES = MappingProxyType(
@@ -110,21 +110,6 @@
     sequence: int = 0
 
 
-class ConfigStampBody(msgspec.Struct, rename='camel'):
-    """The part of the config that orders its states."""
-
-    config_version: str
-
-
-class ServerStampBody(msgspec.Struct):
-    """The part of a row in table `servers` that orders its states."""
-
-    # Start time of the server in milliseconds.
-    born: int = 0
-    # Number of the server's reports since its start.
-    sequence: int = 0
-
-
 class MemberBody(msgspec.Struct):
     """Content of a row in the table that gateways register in."""
 
@@ -152,22 +137,6 @@
         return InvalidRow(row.key, str(error), server)
 
 
-def find_stamp(topic: Topic, key: str, content: bytes) -> tuple[int, int]:
-    """Return what the writer of a row states about its order, or zeros."""
-    try:
-        match topic:
-            case Topic.OPERATOR if key == CONFIG_KEY:
-                config = msgspec.json.decode(content, type=ConfigStampBody)
-                return _parse_version(config.config_version), 0
-            case Topic.SERVERS:
-                server = msgspec.json.decode(content, type=ServerStampBody)
-                return server.born, server.sequence
-    except (msgspec.DecodeError, UndecodableRow, ValueError):
-        # A row that is deleted or can't be decoded states no order.
-        return 0, 0
-    return 0, 0
-
-
 def encode_member(record: MemberRecord) -> bytes:
     """Return the content of the row that registers a gateway."""
     body = MemberBody(
@@ -195,7 +164,7 @@
         ServiceId(each.name): _make_service(each) for each in body.services
     }
     return RoutingConfig(
-        _parse_version(body.config_version),
+        parse_version(body.config_version),
         tuple(_make_route(each, services) for each in body.routes),
         services,
         CallerLimits(
@@ -253,15 +222,6 @@
     return DecodedMember(row.key, record)
 
 
-def _parse_version(text: str) -> int:
-    found = _VERSION.fullmatch(text)
-    if found is None:
-        raise UndecodableRow(
-            'configVersion', f'expected "r" and a number, got {text!r}'
-        )
-    return int(found.group(1))
-
-
 def _make_service(body: ServiceBody) -> ServiceConfig:
     return ServiceConfig(
         ServiceId(body.name),
