--- a/review/2/case.py
+++ b/review/2/case.py
@@ -22,11 +22,9 @@
 
 QUICK = Route('quick', timeout_s=1.0, aim_s=0.3)
 SLOW = Route('slow', timeout_s=2.0, aim_s=0.8)
-CYCLES = 15
+CYCLES = 18
 CUT_OFF = 6
 SOUND = 2
-#: Machines killed at once: half of all.
-KILLED = 4
 
 
 async def run(record: Record) -> bool:
@@ -56,13 +54,13 @@
                     sending(machine, QUICK, others, requesters=12, pause_s=0.1)
                 )
             for _ in range(CYCLES):
-                await asyncio.sleep(2.2)
+                await asyncio.sleep(1.8)
                 if not is_troubled():
                     await asyncio.sleep(3.2)
                     continue
                 deployment.cut(cut_off)
-                await asyncio.sleep(3.0)
-                for machine in cut_off[:KILLED]:
+                await asyncio.sleep(2.9)
+                for machine in cut_off:
                     machine.send(signal.SIGKILL)
                 await asyncio.sleep(0.2)
                 deployment.cut([])
