--- a/review/standins.py
+++ b/review/standins.py
@@ -200,6 +200,14 @@
 
 def _find_inode(local: tuple[str, int], remote: tuple[str, int]) -> int:
     """Return the inode of a loopback socket, as the kernel's tables name it."""
+    try:
+        return _ask_inode(local, remote)
+    except OSError:
+        return _read_inode(local[1], remote[1])
+
+
+def _ask_inode(local: tuple[str, int], remote: tuple[str, int]) -> int:
+    """Return the inode of a socket by a query for this one."""
     asked = struct.pack('!HH', local[1], remote[1])
     for host in (local[0], remote[0]):
         asked += socket.inet_aton(host).ljust(16, b'\0')
@@ -214,6 +222,16 @@
     return 0 if is_error else struct.unpack('=I', found[84:88])[0]
 
 
+def _read_inode(port: int, remote_port: int) -> int:
+    """Return the inode of a socket by its ports, from the whole table."""
+    for line in Path('/proc/net/tcp').read_text().splitlines()[1:]:
+        fields = line.split()
+        ports = [int(fields[at].split(':')[1], 16) for at in (1, 2)]
+        if ports == [port, remote_port]:
+            return int(fields[9])
+    return 0
+
+
 def _list_sockets(pids: set[int]) -> set[int]:
     """Return the inodes of the sockets of processes that we started."""
     found = set()
