Move the gauges and the set-up of watchers out of the gateway

Change: GatewayGauges shows the state of a gateway as gauges, make_watchers creates the watchers of all topics with the backoff that they share.

--- a/ibisplank/gateway/_gateway.py
+++ b/ibisplank/gateway/_gateway.py
@@ -18,12 +18,12 @@
     send_answer,
 )
 from ibisplank.errors import SettingError, StoreError
-from ibisplank.gateway._backoff import StoreBackoff
 from ibisplank.gateway._cluster import ClusterState
 from ibisplank.gateway._decoding import Decoder, MemberRecord
 from ibisplank.gateway._fleet import Fleet
 from ibisplank.gateway._forwarder import Forwarder
 from ibisplank.gateway._frontend import Frontend
+from ibisplank.gateway._gauges import GatewayGauges
 from ibisplank.gateway._handover import Handover
 from ibisplank.gateway._handoverserver import HandoverServer
 from ibisplank.gateway._headers import HeaderNames
@@ -35,7 +35,7 @@
 from ibisplank.gateway._prober import Prober
 from ibisplank.gateway._settings import GatewaySettings
 from ibisplank.gateway._suspects import SuspectCalls
-from ibisplank.gateway._watcher import Watcher
+from ibisplank.gateway._watcher import make_watchers
 from ibisplank.ids import ServerId
 from ibisplank.process import (
     LogBuffer,
@@ -161,7 +161,13 @@
             read_clock,
             self._handle_path_change,
         )
-        self._backoff = StoreBackoff()
+        self._gauges = GatewayGauges(
+            self._fleet,
+            self.suspects,
+            self._frontend,
+            self._mesh,
+            lines,
+        )
         self._servers: list[HttpServer] = []
 
     def is_ready(self) -> bool:
@@ -181,7 +187,7 @@
 
     def render_metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        self._set_gauges()
+        self._gauges.update(self._metrics, read_clock())
         return self._metrics.render()
 
     async def run(self) -> None:
@@ -221,27 +227,19 @@
         group.start_soon(self._lines.run)
         group.start_soon(self._mesh.run)
         group.start_soon(self._keep_registered)
-        for topic in Topic:
-            group.start_soon(self._make_watcher(topic).run)
-        group.start_soon(self._prober.run)
-        group.start_soon(self._path_checker.run)
-        group.start_soon(self._clean_up)
-
-    def _make_watcher(self, topic: Topic) -> Watcher:
-        freshness = self.cluster.freshness[topic]
-        rows = self.cluster.rows[topic]
-        return Watcher(
-            topic,
+        for watcher in make_watchers(
             self._store,
+            self.cluster,
             self._publish_update,
             self._mesh.is_reader,
-            lambda: freshness.find_age(read_clock()),
-            lambda: (rows.era, rows.version),
             self._rng,
             self._metrics.count_event,
-            self._backoff,
             read_clock,
-        )
+        ):
+            group.start_soon(watcher.run)
+        group.start_soon(self._prober.run)
+        group.start_soon(self._path_checker.run)
+        group.start_soon(self._clean_up)
 
     def _publish_update(self, update: TableUpdate) -> None:
         """Apply an update by this gateway and send it to the others."""
@@ -323,73 +321,6 @@
     ) -> None:
         await send_answer(send, OK, self.render_metrics())
 
-    def _set_gauges(self) -> None:
-        now = read_clock()
-        cluster = self.cluster
-        loads = self._fleet.list_loads()
-        shown = (
-            (
-                'config_version',
-                'Config in force',
-                cluster.config.version,
-            ),
-            (
-                'picture_age_seconds',
-                'Age of the picture',
-                cluster.find_age(now),
-            ),
-            ('members', 'Gateways known', len(cluster.members)),
-            (
-                'servers',
-                'Servers known',
-                len(cluster.directory.list_all()),
-            ),
-            (
-                'servers_leaving',
-                'Servers known that said that they leave',
-                len(cluster.directory.list_leaving()),
-            ),
-            (
-                'servers_quiet',
-                'Servers that asked this gateway for quiet',
-                self._fleet.quiet.count_quiet(now),
-            ),
-            (
-                'isolated',
-                'Whether no backend server is reached',
-                self._fleet.own_paths.isolated,
-            ),
-            (
-                'reader',
-                'Whether it reads for others',
-                self._mesh.is_reader(),
-            ),
-            (
-                'calls_in_flight',
-                'Calls unanswered',
-                self._frontend.in_flight,
-            ),
-            (
-                'suspect_calls',
-                'Calls under which servers crashed',
-                len(self.suspects),
-            ),
-            (
-                'unknown_messages',
-                'Messages of gateways that were left out',
-                self._mesh.unknown.count,
-            ),
-            (
-                'body_bytes',
-                'Memory taken for the bodies of calls',
-                self._frontend.bodies.held,
-            ),
-            ('attempts_in_flight', 'Attempts running', sum(loads.values())),
-            ('log_lines_dropped', 'Log lines dropped', self._lines.dropped),
-        )
-        for name, help_text, amount in shown:
-            self._metrics.set_gauge(name, help_text, float(amount))
-
     async def _await_stop(self, signals: AsyncIterator[signal.Signals]) -> None:
         """Wait for the signal to stop; reload the settings on SIGHUP."""
         async for number in signals:
--- a/ibisplank/gateway/_watcher.py
+++ b/ibisplank/gateway/_watcher.py
@@ -9,6 +9,7 @@
 
 from ibisplank.errors import HistoryGone, StoreError
 from ibisplank.gateway._backoff import StoreBackoff
+from ibisplank.gateway._cluster import ClusterState
 from ibisplank.process import log_event
 from ibisplank.store import RowStore, TableUpdate, Topic
 
@@ -144,3 +145,33 @@
         if not self._store_lost:
             log_event('store lost', topic=self.topic.value, error=str(error))
         self._store_lost = True
+
+
+def make_watchers(
+    store: RowStore,
+    cluster: ClusterState,
+    on_update: Callable[[TableUpdate], None],
+    is_reader: Callable[[], bool],
+    rng: random.Random,
+    count_event: Callable[[str], None],
+    clock: Callable[[], float],
+) -> list[Watcher]:
+    """Return a watcher of each topic; they share one backoff."""
+    backoff = StoreBackoff()
+
+    def make_watcher(topic: Topic) -> Watcher:
+        rows = cluster.rows[topic]
+        return Watcher(
+            topic,
+            store,
+            on_update,
+            is_reader,
+            lambda: cluster.freshness[topic].find_age(clock()),
+            lambda: (rows.era, rows.version),
+            rng,
+            count_event,
+            backoff,
+            clock,
+        )
+
+    return [make_watcher(topic) for topic in Topic]
