Let a lost or failing peer stream end nothing but itself

Cause: HandoverServer._serve wrote replies to the stream of another gateway from the task group of the process. With uvloop a write on a transport that was closed meanwhile raises RuntimeError; with the HTTP/2 library it may raise its own errors, or AssertionError and AttributeError of grpclib. STREAM_ERRORS named none of these, so the exception ended the task group. Any task that wrote to or read from a peer, and any exception in a callback, had that power.

Change: only the task of a stream writes to it (Outbox, for both directions). A reply ends with its stream, also one that flow control holds back, which was awaited for ever. Streams and received messages are fault boundaries: what they stop is logged once per place and counted in ibisplank_gateway_faults_contained. A call that cannot be accepted is declined, one that arrives twice while it runs is served once: its second end was a KeyError that ended the process.

--- a/ibisplank/connection/_peer.py
+++ b/ibisplank/connection/_peer.py
@@ -18,42 +18,32 @@
 from ibisplank.connection._control import Hello
 from ibisplank.connection._gateways import Ping, Pong, UnknownMessage
 from ibisplank.connection._messages import Envelope, Message, RawEnvelope
+from ibisplank.connection._outbox import Outbox
 from ibisplank.connection._tls import PeerTls
+from ibisplank.errors import PeerStreamLost
+from ibisplank.faults import Boundary, FaultLog
 from ibisplank.ids import MemberId
 
 METHOD = '/ibisplank.Peer/Exchange'
 RECONNECT_DELAY_S = 0.2
 CONNECT_TIMEOUT_S = 1.0
-#: Maximum number of queued messages per link.
-OUTBOX_LIMIT = 10000
 #: Interval between two pings on a stream.
 PING_INTERVAL_S = 1.0
 #: An outgoing stream that has received nothing for this long is closed.
 PEER_TIMEOUT_S = 2.2
 
 #: Exceptions that a stream raises when the peer or the network ends it.
-STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
+STREAM_ERRORS = (
+    OSError,
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    PeerStreamLost,
+)
 
 Receiver = Callable[[MemberId, Message], None]
 
 
-class ReplyChannel:
-    """The direction of a peer's stream that leads back to it.
-
-    Messages of several tasks are sent one after the other, as a frame must not
-    be interrupted by another.
-    """
-
-    def __init__(self, stream: Stream[Envelope, Envelope]) -> None:
-        self._stream = stream
-        self._lock = anyio.Lock()
-
-    async def send(self, message: Message) -> None:
-        """Send a message to the peer."""
-        async with self._lock:
-            await self._stream.send_message(Envelope((message,)))
-
-
 class MsgpackCodec(CodecBase):
     """Codec for MessagePack, which needs no generated code.
 
@@ -103,19 +93,25 @@
 
 
 class PeerServer:
-    """Accepts streams from peers and passes their messages to a callback."""
+    """Accepts streams from peers and passes their messages to a callback.
+
+    A stream that fails ends alone, and a message that cannot be handled costs
+    no other.
+    """
 
     def __init__(
         self,
         member: MemberId,
         receive: Receiver,
         tls: PeerTls | None = None,
+        faults: FaultLog | None = None,
     ) -> None:
         self._member = member
         self._receive = receive
         self._tls = tls
+        self._faults = faults or FaultLog()
         self._server = Server([self], codec=MsgpackCodec())
-        self._channels: dict[MemberId, ReplyChannel] = {}
+        self._outboxes: dict[MemberId, Outbox] = {}
 
     def __mapping__(self) -> Mapping[str, Handler]:
         """Return the RPC methods of this service, as `grpclib` requires."""
@@ -139,38 +135,46 @@
 
     async def exchange(self, stream: Stream[Envelope, Envelope]) -> None:
         """Serve one peer's stream until it ends."""
-        channel = ReplyChannel(stream)
-        await channel.send(Hello(self._member))
+        outbox = Outbox(self._faults)
+        outbox.add(Hello(self._member))
+        with self._faults.contain(Boundary.PEER_STREAM, STREAM_ERRORS):
+            async with anyio.create_task_group() as group:
+                group.start_soon(outbox.write_to, stream)
+                await self._receive_until_end(stream, outbox)
+                group.cancel_scope.cancel()
+
+    async def reply(self, member: MemberId, message: Message) -> bool:
+        """Send a message on a peer's own stream; return whether it was sent.
+
+        A peer whose stream was lost has no use for a reply to what it sent.
+        """
+        outbox = self._outboxes.get(member)
+        return outbox is not None and await outbox.deliver(message)
+
+    async def _receive_until_end(
+        self, stream: Stream[Envelope, Envelope], outbox: Outbox
+    ) -> None:
         peer: MemberId | None = None
         try:
             async for envelope in stream:
                 if Ping() in envelope.messages:
-                    await channel.send(Pong())
+                    outbox.add(Pong())
                 peer = _find_sender(envelope, peer)
                 if peer is not None:
-                    self._channels[peer] = channel
+                    self._outboxes[peer] = outbox
                     self._receive_all(peer, envelope)
         finally:
-            if peer is not None and self._channels.get(peer) is channel:
-                self._channels.pop(peer)
-
-    async def reply(self, member: MemberId, message: Message) -> bool:
-        """Send a message on a peer's own stream; return whether it was sent.
-
-        A peer whose stream was lost has no use for a reply to what it sent.
-        """
-        channel = self._channels.get(member)
-        if channel is None:
-            return False
-        try:
-            await channel.send(message)
-        except STREAM_ERRORS:
-            return False
-        return True
+            if peer is not None and self._outboxes.get(peer) is outbox:
+                self._outboxes.pop(peer)
 
     def _receive_all(self, peer: MemberId, envelope: Envelope) -> None:
         for message in envelope.messages:
-            self._receive(peer, message)
+            with self._faults.contain(
+                Boundary.MESSAGE_RECEIVED,
+                peer=peer,
+                message=type(message).__name__,
+            ):
+                self._receive(peer, message)
 
 
 def _find_sender(envelope: Envelope, known: MemberId | None) -> MemberId | None:
@@ -211,24 +215,19 @@
         hello: Hello,
         owner: LinkOwner,
         tls: PeerTls | None = None,
+        faults: FaultLog | None = None,
     ) -> None:
         self.address = address
         self._hello = hello
         self._owner = owner
         self._tls = tls
-        self._outbox: list[Message] = []
-        self._wake = anyio.Event()
+        self._faults = faults or FaultLog()
+        self._outbox: Outbox | None = None
         self._scope = anyio.CancelScope()
-        self._up = False
-        self._failures = 0
 
     def send(self, message: Message) -> bool:
         """Queue a message; return whether the link is up and has room."""
-        if not self._up or len(self._outbox) >= OUTBOX_LIMIT:
-            return False
-        self._outbox.append(message)
-        self._wake.set()
-        return True
+        return self._outbox is not None and self._outbox.add(message)
 
     def close(self) -> None:
         """Close the stream and stop reconnecting."""
@@ -246,17 +245,21 @@
                 await anyio.sleep(RECONNECT_DELAY_S)
 
     async def _run_stream(self) -> None:
+        with self._faults.contain(
+            Boundary.PEER_STREAM, STREAM_ERRORS, address=self.address
+        ):
+            await self._connect()
+
+    async def _connect(self) -> None:
         host, _, port = self.address.rpartition(':')
         context = None if self._tls is None else self._tls.client
         channel = Channel(host, int(port), codec=MsgpackCodec(), ssl=context)
         method = StreamStreamMethod(channel, METHOD, Envelope, Envelope)
         try:
             await self._exchange(method)
-        except* STREAM_ERRORS:
-            self._failures += 1
         finally:
-            if self._up:
-                self._up = False
+            if self._outbox is not None:
+                self._outbox = None
                 self._owner.link_down(self.address)
             channel.close()
 
@@ -269,38 +272,39 @@
             peer = None if first is None else _find_sender(first, None)
             if peer is None:
                 return
-            self._outbox = []
-            self._up = True
+            outbox = Outbox(self._faults)
+            self._outbox = outbox
             self._owner.link_up(self.address, peer)
             async with anyio.create_task_group() as group:
-                group.start_soon(self._send_queued, stream)
-                group.start_soon(self._ping)
+                group.start_soon(outbox.write_to, stream)
+                group.start_soon(_ping, outbox)
                 await self._receive_until_lost(stream)
                 group.cancel_scope.cancel()
 
-    async def _ping(self) -> None:
-        while True:
-            await anyio.sleep(PING_INTERVAL_S)
-            self.send(Ping())
-
-    async def _send_queued(self, stream: Any) -> None:
-        while True:
-            await self._wake.wait()
-            self._wake = anyio.Event()
-            batch = Envelope(tuple(self._outbox))
-            self._outbox = []
-            await stream.send_message(batch)
-
     async def _receive_until_lost(self, stream: Any) -> None:
         """Return when the stream has ended or was silent for too long."""
         received: Any = Envelope(())
         with anyio.move_on_after(PEER_TIMEOUT_S) as scope:
             while received is not None:
                 for message in received.messages:
-                    self._owner.link_received(self.address, message)
+                    self._receive(message)
                 received = await stream.recv_message()
                 scope.deadline = anyio.current_time() + PEER_TIMEOUT_S
 
+    def _receive(self, message: Message) -> None:
+        with self._faults.contain(
+            Boundary.MESSAGE_RECEIVED,
+            address=self.address,
+            message=type(message).__name__,
+        ):
+            self._owner.link_received(self.address, message)
+
+
+async def _ping(outbox: Outbox) -> None:
+    while True:
+        await anyio.sleep(PING_INTERVAL_S)
+        outbox.add(Ping())
+
 
 async def _open_stream(stream: Any) -> None:
     """Open a stream.
--- a/ibisplank/errors.py
+++ b/ibisplank/errors.py
@@ -110,6 +110,16 @@
         super().__init__(f'{kind.value}: {remedy}')
 
 
+class PeerStreamLost(IbisplankError):
+    """A message could not be written to another process."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(
+            f'stream to a peer lost ({reason}): it is opened again, '
+            'look for the end of that peer',
+        )
+
+
 class BackendError(IbisplankError):
     """Base class of failures of one attempt on a backend server."""
 
--- a/ibisplank/gateway/_cluster.py
+++ b/ibisplank/gateway/_cluster.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ibisplank.faults import FaultLog
 from ibisplank.gateway._decoding import (
     DecodedConfig,
     DecodedMember,
@@ -45,6 +46,8 @@
         Gateway processes by VM name.
     on_server_end : callable
         Called with each run of a server that has ended and did not leave.
+    faults : FaultLog
+        Faults that the parts of this gateway have contained.
     """
 
     decode: Decoder
@@ -61,6 +64,7 @@
         default_factory=lambda: RouteTable(RoutingConfig()),
     )
     on_server_end: Callable[[ServerKey], None] = _ignore
+    faults: FaultLog = field(default_factory=FaultLog)
     _zones_returning: dict[ZoneId, float] = field(default_factory=dict)
 
     def apply(self, update: TableUpdate, now: float) -> list[VersionedRow]:
--- a/ibisplank/gateway/_gauges.py
+++ b/ibisplank/gateway/_gauges.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from ibisplank.faults import Boundary
 from ibisplank.gateway._fleet import Fleet
 from ibisplank.gateway._frontend import Frontend
 from ibisplank.gateway._mesh import Mesh
@@ -60,6 +61,8 @@
         )
         for name, help_text, amount in (*shown, *self._list_servers(now)):
             metrics.set_gauge(name, help_text, float(amount))
+        for boundary in Boundary:
+            metrics.show_faults(boundary, cluster.faults.count(boundary))
 
     def _list_servers(self, now: float) -> tuple[tuple[str, str, int], ...]:
         """Return the gauges of the backend servers."""
--- a/ibisplank/gateway/_handoverserver.py
+++ b/ibisplank/gateway/_handoverserver.py
@@ -13,6 +13,7 @@
     CallRequest,
     Message,
 )
+from ibisplank.faults import Boundary
 from ibisplank.gateway._cluster import ClusterState
 from ibisplank.gateway._incoming import (
     CallHead,
@@ -69,12 +70,19 @@
     def accept(
         self, member: MemberId, request: CallRequest, group: TaskGroup
     ) -> None:
-        """Start to serve a call of another gateway."""
-        scope = anyio.CancelScope()
-        call = self._make_call(request)
+        """Start to serve a call of another gateway, once however often sent."""
+        if (member, request.number) in self._scopes:
+            log_event('call of another gateway repeated', gateway=member)
+            return
+        call = None
+        with self.cluster.faults.contain(
+            Boundary.HANDED_OVER_CALL, gateway=member
+        ):
+            call = self._make_call(request)
         if call is None:
             group.start_soon(self._decline, member, request)
             return
+        scope = anyio.CancelScope()
         self._scopes[(member, request.number)] = scope
         group.start_soon(self._serve, member, request.number, call, scope)
 
@@ -148,10 +156,10 @@
         try:
             return await self.execute(call)
         except Exception as error:
-            log_event(
-                'call of another gateway failed',
+            self.cluster.faults.record(
+                Boundary.HANDED_OVER_CALL,
+                error,
                 id=call.head.request_id.decode('latin-1'),
-                error=repr(error),
             )
             return Respond(CallResult.FAILED)
 
--- a/ibisplank/gateway/_mesh.py
+++ b/ibisplank/gateway/_mesh.py
@@ -83,7 +83,9 @@
         self.readers = Readers(self.own.member)
         self.relays = Relays(self.own.member)
         hello = Hello(self.own.member, self.own.peer)
-        self._links = PeerLinks(hello, self._send_snapshots)
+        self._links = PeerLinks(
+            hello, self._send_snapshots, faults=self.cluster.faults
+        )
         self._publisher = LoadPublisher(
             self.fleet, self._send_group, self.clock
         )
@@ -105,7 +107,9 @@
     async def run(self) -> None:
         """Exchange messages with the other gateways until cancelled."""
         host, _, port = self.own.peer.rpartition(':')
-        server = PeerServer(self.own.member, self._receive)
+        server = PeerServer(
+            self.own.member, self._receive, faults=self.cluster.faults
+        )
         self.handover_server.reply = server.reply
         await server.start(host, int(port))
         try:
--- a/ibisplank/gateway/_metrics.py
+++ b/ibisplank/gateway/_metrics.py
@@ -3,6 +3,7 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from ibisplank.faults import Boundary
 from ibisplank.gateway._model import RouteName
 from ibisplank.gateway._plan import Respond
 from ibisplank.ids import ServiceId
@@ -31,6 +32,11 @@
             'Reads of the store, probes, and calls that no route allows',
             registry=self.registry,
         )
+        self._faults = Gauge(
+            'ibisplank_gateway_faults_contained',
+            'Unexpected exceptions that were stopped, by boundary',
+            registry=self.registry,
+        )
         self._gauges: dict[str, Gauge] = {}
 
     def observe_call(
@@ -67,6 +73,10 @@
             self._gauges[name] = gauge
         gauge.set({}, amount)
 
+    def show_faults(self, boundary: Boundary, count: int) -> None:
+        """Show how many faults a boundary has stopped."""
+        self._faults.set({'boundary': boundary.value}, count)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         body, _ = render(self.registry, [])
--- a/ibisplank/process/daemons/_peerlinks.py
+++ b/ibisplank/process/daemons/_peerlinks.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from ibisplank.connection import Hello, Message, PeerLink, PeerTls
+from ibisplank.faults import FaultLog
 from ibisplank.ids import MemberId
 
 
@@ -43,10 +44,12 @@
         hello: Hello,
         on_connected: Callable[[MemberId], None],
         tls: PeerTls | None = None,
+        faults: FaultLog | None = None,
     ) -> None:
         self._hello = hello
         self._on_connected = on_connected
         self._tls = tls
+        self._faults = faults or FaultLog()
         self._links: dict[str, PeerLink] = {}
         self._connected: dict[MemberId, PeerLink] = {}
         self._unlisted: set[str] = set()
@@ -119,6 +122,6 @@
         return list(self._connected)
 
     def _open_link(self, address: str, group: TaskGroup) -> None:
-        link = PeerLink(address, self._hello, self, self._tls)
+        link = PeerLink(address, self._hello, self, self._tls, self._faults)
         self._links[address] = link
         group.start_soon(link.run)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -266,6 +266,38 @@
     run_scenario(scenario)
 
 
+def test_call_that_cannot_be_accepted_is_declined() -> None:
+    """It has not run, and another gateway may get it."""
+
+    async def scenario() -> None:
+        peer = Peer()
+
+        def fail() -> float:
+            raise ZeroDivisionError
+
+        peer.server.clock = fail
+        async with anyio.create_task_group() as group:
+            peer.server.accept(PEER, make_request(7), group)
+        assert peer.replies == [CallReply(7, CallEnding.DECLINED)]
+
+    run_scenario(scenario)
+
+
+def test_call_that_arrives_twice_runs_once() -> None:
+    """The number of a call in flight ended the gateway when it came again."""
+
+    async def scenario() -> None:
+        peer = Peer()
+        async with anyio.create_task_group() as group:
+            for _ in range(2):
+                peer.server.accept(PEER, make_request(7), group)
+            await anyio.wait_all_tasks_blocked()
+            peer.hold.set()
+        assert len(peer.calls) == len(peer.replies) == 1
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize(
     ('chosen', 'expected'),
     [('b', {'b'}), ('a', {'a'}), ('gone', {'a', 'b'})],
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -1,19 +1,26 @@
 """Peer streams: order of messages, mutual TLS, reload of certificates."""
 
 import contextlib
+import gc
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
 import anyio
+import h2.exceptions
 import msgspec
 import pytest
 import trustme
-from grpclib.client import Channel
+from grpclib.client import Channel, StreamStreamMethod
+from grpclib.client import Stream as ClientStream
+from grpclib.protocol import H2Protocol
 from grpclib.server import Stream
 from hypothesis import given
 from hypothesis import strategies as st
 
 from harness.processes import LOOPBACK, pick_port
 from ibisplank.connection import (
+    CallEnding,
+    CallReply,
     Envelope,
     Hello,
     IdleSlots,
@@ -25,15 +32,21 @@
     UnknownMessage,
 )
 from ibisplank.connection._peer import (
+    METHOD,
     PEER_TIMEOUT_S,
     PING_INTERVAL_S,
     STREAM_ERRORS,
     MsgpackCodec,
+    Receiver,
 )
 from ibisplank.errors import SettingError
+from ibisplank.faults import Boundary, FaultLog
 from ibisplank.ids import MemberId, ServiceId
 from tests.certificates import issue
 
+CLIENT = MemberId('client')
+SERVICE = ServiceId('s')
+
 
 class RecordingOwner:
     """Records the peer while the link is up."""
@@ -274,3 +287,200 @@
     fields = [*msgspec.to_builtins(known), 'of a later version']
     frame = msgspec.msgpack.encode([[fields], 'of a later version'])
     assert MsgpackCodec().decode(frame, Envelope).messages == (known,)
+
+
+#: What a write raises when the connection is lost under it: uvloop, the HTTP/2
+#: library, the kernel, and `grpclib` itself.
+WRITE_ERRORS = (
+    RuntimeError('the handler is closed'),
+    h2.exceptions.StreamClosedError(1),
+    h2.exceptions.ProtocolError('connection closed'),
+    BrokenPipeError('write'),
+    AssertionError('end of stream within a message'),
+    AttributeError('_stream'),
+)
+
+
+@pytest.mark.parametrize('error', WRITE_ERRORS, ids=repr)
+def test_reply_on_a_lost_stream_ends_no_task_of_the_process(
+    error: Exception, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A gateway ended when one that it had served calls for was killed."""
+    replies: list[bool] = []
+
+    async def fail(
+        stream: Stream[Envelope, Envelope], message: Envelope
+    ) -> None:
+        raise error
+
+    async def run() -> None:
+        async with run_link() as (peers, link, owner):
+            monkeypatch.setattr(Stream, 'send_message', fail)
+
+            async def reply() -> None:
+                replies.append(await peers.reply(CLIENT, IdleSlots(SERVICE, 1)))
+
+            async with anyio.create_task_group() as group:
+                for _ in range(2):
+                    group.start_soon(reply)
+            monkeypatch.undo()
+            await wait_for_reply(peers, link, owner)
+
+    anyio.run(run)
+    assert replies == [False, False]
+
+
+@pytest.mark.parametrize('error', WRITE_ERRORS, ids=repr)
+def test_message_on_a_lost_link_ends_no_task_of_the_process(
+    error: Exception, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The same for a stream that this process has opened."""
+
+    async def fail(stream: object, message: Envelope, **options: bool) -> None:
+        raise error
+
+    async def run() -> None:
+        async with run_link() as (peers, link, owner):
+            with monkeypatch.context() as patch:
+                patch.setattr(ClientStream, 'send_message', fail)
+                assert link.send(IdleSlots(SERVICE, 1))
+                await wait_until(lambda: not owner.up)
+            await wait_for_reply(peers, link, owner)
+
+    anyio.run(run)
+
+
+@pytest.mark.parametrize('uvloop', [False, True])
+def test_peers_killed_while_they_get_replies_end_no_task_of_the_process(
+    uvloop: bool,
+) -> None:
+    """Connections are reset at any step of many replies."""
+
+    async def run() -> None:
+        async with run_link() as (peers, link, owner):
+            for round_number in range(20):
+                await wait_until(lambda: bool(owner.up))
+                await wait_for_reply(peers, link, owner)
+                sent: list[bool] = []
+
+                async def reply(body: bytes, sent: list[bool] = sent) -> None:
+                    message = CallReply(1, CallEnding.ANSWERED, body=body)
+                    sent.append(await peers.reply(CLIENT, message))
+
+                with anyio.fail_after(5.0):
+                    async with anyio.create_task_group() as group:
+                        for size in (10, 100000) * 20:
+                            group.start_soon(reply, b'x' * size)
+                        for _ in range(round_number):
+                            await anyio.sleep(0)
+                        abort_connections()
+                assert len(sent) == 40
+
+    anyio.run(run, backend_options={'use_uvloop': uvloop})
+
+
+def test_message_that_cannot_be_handled_costs_no_other() -> None:
+    """A reply whose handling fails leaves the stream and the others alone."""
+
+    class FailingOwner(RecordingOwner):
+        def link_received(self, address: str, message: Message) -> None:
+            super().link_received(address, message)
+            raise KeyError('unexpected')
+
+    received: list[Message] = []
+
+    def receive(member: MemberId, message: Message) -> None:
+        received.append(message)
+        raise KeyError('unexpected')
+
+    async def run() -> None:
+        owner = FailingOwner()
+        faults = FaultLog()
+        async with run_link(owner, receive, faults) as (peers, link, _):
+            for number in range(3):
+                assert link.send(IdleSlots(SERVICE, number))
+                assert await peers.reply(CLIENT, IdleSlots(SERVICE, number))
+            await wait_until(lambda: len(received) == 4)
+            await wait_until(lambda: len(owner.replies) == 3)
+            assert owner.up
+        assert faults.count(Boundary.MESSAGE_RECEIVED) == 7
+        assert faults.count(Boundary.PEER_STREAM) == 0
+
+    anyio.run(run)
+
+
+def test_reply_to_a_peer_that_does_not_read_ends_with_its_stream() -> None:
+    """A reply that flow control holds back is not awaited for ever."""
+
+    async def run() -> None:
+        port = pick_port()
+        peers = PeerServer(MemberId('server'), lambda _, message: None)
+        await peers.start(LOOPBACK, port)
+        channel = Channel(LOOPBACK, port, codec=MsgpackCodec())
+        method = StreamStreamMethod(channel, METHOD, Envelope, Envelope)
+        async with method.open() as stream:
+            await stream.send_message(Envelope((Hello(CLIENT),)))
+            await stream.recv_message()
+            sent: list[bool] = []
+
+            async def reply() -> None:
+                body = b'x' * 16000000
+                message = CallReply(1, CallEnding.ANSWERED, body=body)
+                sent.append(await peers.reply(CLIENT, message))
+
+            with anyio.fail_after(2.0):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(reply)
+                    await anyio.sleep(0.3)
+                    assert not sent
+                    await stream.cancel()
+            assert sent == [False]
+        channel.close()
+        await peers.stop()
+
+    anyio.run(run)
+
+
+@contextlib.asynccontextmanager
+async def run_link(
+    owner: RecordingOwner | None = None,
+    receive: Receiver = lambda _, message: None,
+    faults: FaultLog | None = None,
+) -> AsyncIterator[tuple[PeerServer, PeerLink, RecordingOwner]]:
+    """Connect a link to a server, both in this loop."""
+    port = pick_port()
+    owner = owner or RecordingOwner()
+    options = {} if faults is None else {'faults': faults}
+    peers = PeerServer(MemberId('server'), receive, **options)
+    await peers.start(LOOPBACK, port)
+    link = PeerLink(f'{LOOPBACK}:{port}', Hello(CLIENT), owner, **options)
+    async with anyio.create_task_group() as group:
+        group.start_soon(link.run)
+        await wait_until(lambda: bool(owner.up))
+        yield peers, link, owner
+        group.cancel_scope.cancel()
+    await peers.stop()
+
+
+async def wait_until(check: Callable[[], bool]) -> None:
+    with anyio.fail_after(5.0):
+        while not check():
+            await anyio.sleep(0.005)
+
+
+async def wait_for_reply(
+    peers: PeerServer, link: PeerLink, owner: RecordingOwner
+) -> None:
+    """Wait until a reply arrives, if need be on a new stream."""
+    known = len(owner.replies)
+    with anyio.fail_after(5.0):
+        while len(owner.replies) == known:
+            await peers.reply(CLIENT, IdleSlots(SERVICE, 1))
+            await anyio.sleep(0.005)
+
+
+def abort_connections() -> None:
+    """Reset all connections of this process that `grpclib` uses."""
+    for each in gc.get_objects():
+        if isinstance(each, H2Protocol) and each.connection is not None:
+            each.connection._transport.abort()
