Check figures where they are read, and lose only a message that fails

Cause: figures of servers were checked for what this process does with them, not for what it hands on. `6e100` in a load is finite, so it became an integer of 101 digits in a ServerReport, which MessagePack cannot encode; the encoder raised in the task that writes to the other gateways, beside all other messages of the frame.

The same cause elsewhere, by these tests: versions of rows (a reader would have ended at its next update), an era of 5,000 digits, statuses above 599 (no caller can get them), figures in messages of other gateways, among them not-a-number, and updates that unpack to much more.

Change: ibisplank/figures.py holds the bounds and the one parser of decimal figures; headers, rows, pages of the store and fields of messages use them. A message that cannot be encoded is left out and counted (message_sent), the others of its frame are sent.

Why it works: what is decoded is within what every message can carry, and the codec does not fail a frame for one message. Messages and rows keep their format; figures in bounds are read and written as before.

--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -17,6 +17,7 @@
     SilentConnection,
     TornAnswer,
 )
+from ibisplank.figures import MAX_STATUS
 
 #: A connection that answered this recently may carry requests that must not
 #: be repeated.
@@ -138,8 +139,8 @@
         SilentConnection
             A read timed out before the head of the answer was complete.
         TornAnswer
-            The answer ended early, stalled or is too long, or its length
-            can't be verified.
+            The answer ended early, stalled or is too long, its length can't
+            be verified, or its status is none.
         AlienAnswer
             The `echo` header has another content or, in a 2xx answer, is
             missing.
@@ -168,6 +169,8 @@
             raise AttemptUnknown(str(error)) from error
         self._stream.allow(MAX_ANSWER_BYTES)
         answer = await _read_answer(exchange, response)
+        if answer.status > MAX_STATUS:
+            raise TornAnswer(f'no valid status: {answer.status}')
         _check_echo(exchange.echo, answer, is_first=not self.proven)
         self.idle_limit_s = _find_idle_limit_s(answer.headers)
         return answer
--- a/ibisplank/connection/_gateways.py
+++ b/ibisplank/connection/_gateways.py
@@ -5,9 +5,13 @@
 
 import msgspec
 
+from ibisplank.figures import CallCount, Rate, Seconds, Slowdown, Wait
 from ibisplank.ids import MemberId, ServerId
 from ibisplank.store import TableUpdate
 
+#: Uncompressed size above which an update is not decoded. The entries of 28,000
+#: servers take half of it, at 300 bytes each.
+MAX_UPDATE_BYTES = 16777216
 #: Fastest level, as compression blocks the event loop.
 COMPRESSION_LEVEL = 1
 
@@ -38,7 +42,7 @@
 class ServerLoads(msgspec.Struct, frozen=True, array_like=True, tag='sl'):
     """Calls that the sender has in flight, by server; no entry means 0."""
 
-    counts: dict[ServerId, int]
+    counts: dict[ServerId, CallCount]
 
 
 class ServerReport(msgspec.Struct, frozen=True, array_like=True, tag='rp'):
@@ -67,15 +71,15 @@
 
     server: ServerId
     born_ms: int
-    running: int = 0
-    waiting: int = 0
-    slots: int = 0
-    pace: float = 1.0
-    cold_s: float = 0.0
+    running: CallCount = 0
+    waiting: CallCount = 0
+    slots: CallCount = 0
+    pace: Slowdown = 1.0
+    cold_s: Seconds = 0.0
     reachable: bool = True
     answers: bool = True
     healthy: bool = True
-    rate_limit: float | None = None
+    rate_limit: Rate | None = None
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag='tkq'):
@@ -101,7 +105,7 @@
     """
 
     number: int
-    wait_s: float
+    wait_s: Wait
 
 
 class ServerLeaving(msgspec.Struct, frozen=True, array_like=True, tag='lv'):
@@ -167,10 +171,17 @@
         ValueError
             The content cannot be decoded.
         """
+        unpacker = zlib.decompressobj()
         try:
-            return _decode(zlib.decompress(self.content))
+            content = unpacker.decompress(self.content, MAX_UPDATE_BYTES)
         except zlib.error as error:
             raise ValueError(f'not compressed: {error}') from error
+        if not unpacker.eof:
+            raise ValueError('incomplete, or too large when decompressed')
+        try:
+            return _decode(content)
+        except RecursionError as error:
+            raise ValueError('nested too deeply') from error
 
 
 GatewayMessage = (
--- a/ibisplank/connection/_handover.py
+++ b/ibisplank/connection/_handover.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ibisplank.figures import SecondsLeft, Status, Wait
 from ibisplank.ids import MemberId, ServiceId
 
 
@@ -64,7 +65,7 @@
     body: bytes
     digest: str
     content_digest: str
-    left_s: float
+    left_s: SecondsLeft
     attempts: int
 
 
@@ -102,10 +103,10 @@
 
     number: int
     ending: CallEnding
-    status: int = 0
+    status: Status = 0
     headers: tuple[tuple[bytes, bytes], ...] = ()
     body: bytes = b''
-    retry_after_s: float = 0.0
+    retry_after_s: Wait = 0.0
 
 
 class CallCancel(msgspec.Struct, frozen=True, array_like=True, tag='hcx'):
--- a/ibisplank/connection/_load.py
+++ b/ibisplank/connection/_load.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from ibisplank.figures import MAX_SLOTS, parse_decimal
 from ibisplank.ids import StartId
 
 LOAD_HEADER = b'ibisplank-load'
@@ -38,13 +39,10 @@
     for part in text.split(';'):
         name, _, value = part.strip().partition('=')
         fields[name] = value
-    try:
-        load = float(fields.get('load', '0'))
-    except ValueError:
-        load = 0.0
+    load = parse_decimal(fields.get('load', '').encode(), MAX_SLOTS)
     return LoadReport(
         StartId(fields.get('start', '')),
-        max(0.0, load),
+        load or 0.0,
         fields.get('leaving') == '1',
     )
 
--- a/ibisplank/connection/_peer.py
+++ b/ibisplank/connection/_peer.py
@@ -49,12 +49,14 @@
 
     A peer of a later version may send messages, or values of their fields, that
     this one does not know. Such a message becomes an `UnknownMessage`, and the
-    others of its frame are received.
+    others of its frame are received. A message that cannot be encoded is left
+    out, and the others of its frame are sent.
     """
 
     __content_subtype__ = 'msgpack'
 
-    def __init__(self) -> None:
+    def __init__(self, faults: FaultLog | None = None) -> None:
+        self._faults = faults or FaultLog()
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Envelope)
         self._raw_decoder = msgspec.msgpack.Decoder(RawEnvelope)
@@ -62,7 +64,10 @@
 
     def encode(self, message: Envelope, message_type: type[Envelope]) -> bytes:
         """Return an envelope as bytes."""
-        return self._encoder.encode(message)
+        try:
+            return self._encoder.encode(message)
+        except Exception:
+            return self._encode_each(message)
 
     def decode(self, frame: bytes, message_type: type[Envelope]) -> Envelope:
         """Return the envelope in a frame.
@@ -77,6 +82,16 @@
         except msgspec.DecodeError:
             return self._decode_each(frame)
 
+    def _encode_each(self, envelope: Envelope) -> bytes:
+        """Encode the messages of a frame one by one."""
+        encoded: list[msgspec.Raw] = []
+        for message in envelope.messages:
+            with self._faults.contain(
+                Boundary.MESSAGE_SENT, message=type(message).__name__
+            ):
+                encoded.append(msgspec.Raw(self._encoder.encode(message)))
+        return self._encoder.encode(RawEnvelope(tuple(encoded)))
+
     def _decode_each(self, frame: bytes) -> Envelope:
         """Decode the messages of a frame one by one."""
         try:
@@ -110,7 +125,7 @@
         self._receive = receive
         self._tls = tls
         self._faults = faults or FaultLog()
-        self._server = Server([self], codec=MsgpackCodec())
+        self._server = Server([self], codec=MsgpackCodec(self._faults))
         self._outboxes: dict[MemberId, Outbox] = {}
 
     def __mapping__(self) -> Mapping[str, Handler]:
@@ -253,7 +268,9 @@
     async def _connect(self) -> None:
         host, _, port = self.address.rpartition(':')
         context = None if self._tls is None else self._tls.client
-        channel = Channel(host, int(port), codec=MsgpackCodec(), ssl=context)
+        channel = Channel(
+            host, int(port), codec=MsgpackCodec(self._faults), ssl=context
+        )
         method = StreamStreamMethod(channel, METHOD, Envelope, Envelope)
         try:
             await self._exchange(method)
--- a/ibisplank/gateway/_prober.py
+++ b/ibisplank/gateway/_prober.py
@@ -9,6 +9,7 @@
 
 from ibisplank.connection import Answer, ConnectionPool, ServerReport
 from ibisplank.errors import BackendError, ConnectFailed
+from ibisplank.figures import MAX_SECONDS, parse_decimal
 from ibisplank.gateway._directory import ServerState
 from ibisplank.gateway._fleet import Fleet
 from ibisplank.gateway._headers import HeaderNames, find_header
@@ -172,9 +173,8 @@
             return ServerReport(entry.server, entry.born_ms, reachable=False)
         self.statements.read(entry, answer, 'probe')
         load = parse_load(find_header(headers, self.header_names.server_load))
-        cold_s = _parse_seconds(
-            find_header(headers, self.header_names.warmup_left)
-        )
+        warmup = find_header(headers, self.header_names.warmup_left)
+        cold_s = parse_decimal(warmup, MAX_SECONDS) or 0.0
         rate_limit = parse_rate_limit(
             find_header(headers, self.header_names.rate_limit)
         )
@@ -247,16 +247,3 @@
 def _summarize(report: ServerReport) -> ServerReport:
     cold_s = float(report.cold_s > 0)
     return msgspec.structs.replace(report, running=0, cold_s=cold_s)
-
-
-def _parse_seconds(text: bytes | None) -> float:
-    """Return a time in seconds, 0 if the text is invalid.
-
-    >>> _parse_seconds(b'1.5'), _parse_seconds(b'soon')
-    (1.5, 0.0)
-    """
-    try:
-        seconds = float(text or b'0')
-    except ValueError:
-        return 0.0
-    return seconds if 0 < seconds < float('inf') else 0.0
--- a/ibisplank/gateway/_record.py
+++ b/ibisplank/gateway/_record.py
@@ -4,6 +4,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ibisplank.figures import (
+    MAX_RATE,
+    MAX_SLOTS,
+    MAX_SLOWDOWN,
+    parse_decimal,
+)
 from ibisplank.gateway._ratelimit import StatedLimit
 from ibisplank.ids import ServerId
 
@@ -48,15 +54,20 @@
     """
     if text is None:
         return None
-    try:
-        figures = [float(part) for part in text.split(b',')]
-    except ValueError:
+    parts = text.split(b',')
+    counts = [parse_decimal(part, MAX_SLOTS) for part in parts[:3]]
+    percent = parse_decimal((parts[3:4] or [b'100'])[0], MAX_SLOWDOWN * 100)
+    if len(counts) < 3 or percent is None:
         return None
-    if len(figures) < 3 or not all(map(math.isfinite, figures)):
+    running, waiting, slots = counts
+    if running is None or waiting is None or slots is None:
         return None
-    slowdown = figures[3] / 100 if len(figures) > 3 else 1.0
-    running, waiting, slots = (int(figure) for figure in figures[:3])
-    return LoadReport(running, waiting, slots, max(slowdown, MIN_SLOWDOWN))
+    return LoadReport(
+        int(running),
+        int(waiting),
+        int(slots),
+        max(percent / 100, MIN_SLOWDOWN),
+    )
 
 
 def parse_rate_limit(text: bytes | None) -> float | None:
@@ -65,11 +76,7 @@
     >>> parse_rate_limit(b'1.8'), parse_rate_limit(b'none')
     (1.8, None)
     """
-    try:
-        limit = float(text or b'nan')
-    except ValueError:
-        return None
-    return limit if 0 <= limit < math.inf else None
+    return parse_decimal(text, MAX_RATE)
 
 
 @dataclass(slots=True)
--- a/ibisplank/platform/_client.py
+++ b/ibisplank/platform/_client.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ibisplank.errors import HistoryGone, OutcomeUnknown, StoreDown
+from ibisplank.figures import MAX_INTEGER, Counter, parse_decimal
 from ibisplank.platform._names import (
     ERA_HEADER,
     FEED_PATH,
@@ -55,14 +56,14 @@
 
     key: str
     value: str = ''
-    row_version: int = 0
+    row_version: Counter = 0
     deleted: bool = False
 
 
 class RowsBody(msgspec.Struct, rename='camel'):
     """Answer of the store to a read."""
 
-    row_version: int
+    row_version: Counter
     now_s: float
     rows: list[RowBody] = []
     has_more: bool = False
@@ -240,10 +241,10 @@
 
 
 def _find_era(response: httpcore.Response) -> int:
-    """Return the era in the header of an answer, 0 without one."""
+    """Return the era in the header of an answer, 0 without a valid one."""
     for name, text in response.headers:
-        if name.lower() == ERA_HEADER and text.isdigit():
-            return int(text)
+        if name.lower() == ERA_HEADER:
+            return int(parse_decimal(text, MAX_INTEGER) or 0)
     return 0
 
 
--- a/ibisplank/platform/_fields.py
+++ b/ibisplank/platform/_fields.py
@@ -6,17 +6,12 @@
 import msgspec
 
 from ibisplank.errors import UndecodableRow
+from ibisplank.figures import MAX_SECONDS, MAX_SLOTS
 
-#: Largest integer that every JSON writer represents exactly. Larger ones do not
-#: fit into messages between gateways.
-MAX_INTEGER = 9007199254740991
-MAX_SLOTS = 100000
-MAX_WARMUP_S = 86400.0
 MAX_PORT = 65535
 
-Counter = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 Slots = Annotated[int, msgspec.Meta(le=MAX_SLOTS)]
-WarmupSeconds = Annotated[float, msgspec.Meta(le=MAX_WARMUP_S)]
+WarmupSeconds = Annotated[float, msgspec.Meta(le=MAX_SECONDS)]
 #: Id that can be sent in a header.
 HeaderText = Annotated[str, msgspec.Meta(pattern='^[!-~]+$')]
 
--- a/ibisplank/platform/_rows.py
+++ b/ibisplank/platform/_rows.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ibisplank.errors import UndecodableRow
+from ibisplank.figures import Counter, Seconds
 from ibisplank.gateway import (
     CallerLimits,
     DecodedConfig,
@@ -32,7 +33,6 @@
 from ibisplank.ids import MemberId, ServerId, ServiceId, ZoneId
 from ibisplank.platform._fields import (
     DECODE_ERRORS,
-    Counter,
     HeaderText,
     Slots,
     WarmupSeconds,
@@ -67,8 +67,8 @@
     hostname: str
     prefix: str
     route_type: str
-    timeout_s: float
-    target_latency_s: float
+    timeout_s: Seconds
+    target_latency_s: Seconds
     priority: int
     max_attempts: int
     service: str | None = None
@@ -89,7 +89,7 @@
     name: str
     health_path: str
     max_connections: int
-    warmup_s: float = 0.0
+    warmup_s: Seconds = 0.0
     # Calls per second that a cold server can handle, not a warm-up speed.
     warmup_per_s: float = 1.0
 
@@ -99,8 +99,8 @@
 
     max_header_bytes: int
     max_body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
+    header_timeout_s: Seconds
+    idle_timeout_s: Seconds
 
 
 class ConfigBody(msgspec.Struct, rename='camel'):
--- a/ibisplank/platform/_stamps.py
+++ b/ibisplank/platform/_stamps.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from ibisplank.errors import UndecodableRow
-from ibisplank.platform._fields import DECODE_ERRORS, Counter
+from ibisplank.figures import Counter
+from ibisplank.platform._fields import DECODE_ERRORS
 from ibisplank.platform._names import CONFIG_KEY
 from ibisplank.store import Topic
 
--- a/ibisplank/standin/_upstream.py
+++ b/ibisplank/standin/_upstream.py
@@ -94,6 +94,8 @@
     rate_limit : float or None
         Calls per second that all answers state as the limit of the server. It
         is not enforced.
+    load_text : bytes or None
+        Content of the load header of all answers, whatever the load is.
     """
 
     work_s: float = 0.02
@@ -109,6 +111,7 @@
     leaving: bool = False
     retry_after: bytes | None = None
     rate_limit: float | None = None
+    load_text: bytes | None = None
 
 
 def _ignore() -> None:
@@ -268,6 +271,8 @@
         return max(0.0, self.faults.cold_until - anyio.current_time())
 
     def _render_load(self) -> bytes:
+        if self.faults.load_text is not None:
+            return self.faults.load_text
         slow_factor = round(self.faults.slow_factor * PERCENT)
         fields = (self.running, self.waiting, self.entry.slots, slow_factor)
         return ','.join(map(str, fields)).encode()
--- a/tests/test_bytes.py
+++ b/tests/test_bytes.py
@@ -134,6 +134,14 @@
     assert answers[0].status == 503
 
 
+@pytest.mark.parametrize('status', [b'600', b'999'])
+def test_status_that_no_caller_can_get_is_no_answer(status: bytes) -> None:
+    reply = SIZED.replace(b'200', status)
+    answers = anyio.run(lambda: exchange_all([reply, SIZED], close=False))
+    assert answers[0] is None
+    assert answers[1] is not None
+
+
 #: Heads that state a success, by how their lines end and their body is framed.
 SIGNED = HEAD + HEADER_NAMES.signature + b': s\r\n'
 SUCCESSES = (
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -1,17 +1,21 @@
 """Rows of other writers that no gateway can use."""
 
 import anyio
+import httpcore
 import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from harness.site import run_site
+from ibisplank.connection import CompressedTableUpdate
+from ibisplank.errors import StoreDown
 from ibisplank.gateway import InvalidRow
-from ibisplank.ids import ServerId
+from ibisplank.ids import MemberId, ServerId
 from ibisplank.platform import decode_row
-from ibisplank.platform._client import RowBody, _make_row
-from ibisplank.store import Topic, VersionedRow
+from ibisplank.platform._client import RowBody, _decode, _make_row
+from ibisplank.platform._names import ERA_HEADER
+from ibisplank.store import TableUpdate, Topic, VersionedRow
 from tests.gateways import SERVICE, make_config, make_route
 
 #: Required limit on the time until a new entry takes effect.
@@ -91,6 +95,50 @@
     decode_row(topic, row)
 
 
+ODD_PAGES = (
+    b'{"rowVersion": %s, "nowS": 1.0}' % HUGE,
+    b'{"rowVersion": -1, "nowS": 1.0}',
+    b'{"rowVersion": 5, "nowS": 1e999}',
+    b'{"rowVersion": 5, "nowS": 1.0, "rows": [{"key": "a", "rowVersion": %s}]}'
+    % HUGE,
+)
+
+
+@pytest.mark.parametrize('content', ODD_PAGES)
+def test_answer_of_the_store_that_cannot_be_sent_on_is_none(
+    content: bytes,
+) -> None:
+    """A reader would encode its numbers for the other gateways."""
+    response = httpcore.Response(200, content=content)
+    response.read()
+    with pytest.raises(StoreDown):
+        _decode(response)
+
+
+@pytest.mark.parametrize('era', [b'9' * 5000, HUGE, b'-1', b'\xb2', b'x', b''])
+def test_era_that_is_no_number_ends_no_gateway(era: bytes) -> None:
+    content = b'{"rowVersion": 5, "nowS": 1.0}'
+    response = httpcore.Response(
+        200, headers=[(ERA_HEADER, era)], content=content
+    )
+    response.read()
+    assert _decode(response).era == 0
+
+
+@given(st.sampled_from(sorted(ODD)), st.integers(0, 200), st.integers(0, 255))
+def test_entry_with_a_wrong_byte_can_be_sent_on(
+    name: str, at: int, value: int
+) -> None:
+    for content in (ODD[name], encode()):
+        odd = content[:at] + bytes([value]) + content[at + 1 :]
+        body = RowBody('odd', msgspec.to_builtins(odd), 5)
+        row = _make_row(Topic.SERVERS, body, 0)
+        update = TableUpdate(Topic.SERVERS, (row,), False, 5, 1.0)
+        sent = CompressedTableUpdate.compress(MemberId('m'), update)
+        assert sent.decompress() == update
+        decode_row(Topic.SERVERS, row)
+
+
 def test_row_that_is_not_encoded_is_left_out() -> None:
     row = _make_row(Topic.SERVERS, RowBody('odd', 'YWJjZ', 5), 0)
     assert isinstance(decode_row(Topic.SERVERS, row), InvalidRow)
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import gc
+import math
+import zlib
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
@@ -21,6 +23,7 @@
 from ibisplank.connection import (
     CallEnding,
     CallReply,
+    CompressedTableUpdate,
     Envelope,
     Hello,
     IdleSlots,
@@ -28,9 +31,13 @@
     PeerLink,
     PeerServer,
     PeerTls,
+    ServerLoads,
+    ServerReport,
     TlsFiles,
+    TokenReply,
     UnknownMessage,
 )
+from ibisplank.connection._gateways import MAX_UPDATE_BYTES
 from ibisplank.connection._peer import (
     METHOD,
     PEER_TIMEOUT_S,
@@ -41,7 +48,7 @@
 )
 from ibisplank.errors import SettingError
 from ibisplank.faults import Boundary, FaultLog
-from ibisplank.ids import MemberId, ServiceId
+from ibisplank.ids import MemberId, ServerId, ServiceId
 from tests.certificates import issue
 
 CLIENT = MemberId('client')
@@ -409,6 +416,61 @@
     anyio.run(run)
 
 
+def test_message_that_cannot_be_encoded_costs_no_other() -> None:
+    """A report with an integer of more than 64 bits ended the process."""
+    received: list[Message] = []
+
+    async def run() -> None:
+        faults = FaultLog()
+        async with run_link(
+            receive=lambda _, message: received.append(message), faults=faults
+        ) as (peers, link, owner):
+            odd = ServerReport(ServerId('s'), 1, running=10**101)
+            for number in range(2):
+                assert link.send(IdleSlots(SERVICE, number))
+                assert link.send(odd)
+            await wait_until(lambda: len(received) == 3)
+            await peers.reply(CLIENT, odd)
+            await wait_for_reply(peers, link, owner)
+        assert faults.count(Boundary.MESSAGE_SENT) == 3
+        assert faults.count(Boundary.PEER_WRITE) == 0
+        assert faults.count(Boundary.PEER_STREAM) == 0
+
+    anyio.run(run)
+    assert received[1:] == [IdleSlots(SERVICE, 0), IdleSlots(SERVICE, 1)]
+
+
+ODD_MESSAGES = (
+    ServerReport(ServerId('s'), 1, running=-1),
+    ServerReport(ServerId('s'), 1, slots=2**63),
+    ServerReport(ServerId('s'), 1, pace=math.nan),
+    ServerReport(ServerId('s'), 1, pace=math.inf),
+    ServerReport(ServerId('s'), 1, cold_s=1e300),
+    ServerReport(ServerId('s'), 1, rate_limit=math.nan),
+    ServerLoads({ServerId('s'): -1}),
+    TokenReply(1, math.nan),
+    CallReply(1, CallEnding.ANSWERED, status=999),
+    CallReply(1, CallEnding.NOT_RUN, retry_after_s=math.nan),
+)
+
+
+@pytest.mark.parametrize('message', ODD_MESSAGES, ids=repr)
+def test_message_with_a_figure_out_of_bounds_is_left_out(
+    message: Message,
+) -> None:
+    codec = MsgpackCodec()
+    frame = codec.encode(Envelope((message,)), Envelope)
+    (received,) = codec.decode(frame, Envelope).messages
+    assert isinstance(received, UnknownMessage)
+
+
+def test_update_that_unpacks_to_much_more_is_left_out() -> None:
+    content = zlib.compress(b'\0' * 4 * MAX_UPDATE_BYTES)
+    assert len(content) < MAX_UPDATE_BYTES / 100
+    with pytest.raises(ValueError, match='too large'):
+        CompressedTableUpdate(CLIENT, content).decompress()
+
+
 def test_reply_to_a_peer_that_does_not_read_ends_with_its_stream() -> None:
     """A reply that flow control holds back is not awaited for ever."""
 
