Part the registration of a gateway from its process

Change: Registration writes the row of a gateway and writes it again after a restore of the store; Platform stands beside the settings. No decision, log event or wait differs. Result: tests of gateway, restore and watcher pass; no other measurement.

--- a/ibisplank/gateway/__init__.py
+++ b/ibisplank/gateway/__init__.py
@@ -11,7 +11,7 @@
     InvalidRow,
     MemberRecord,
 )
-from ibisplank.gateway._gateway import Gateway, Platform
+from ibisplank.gateway._gateway import Gateway
 from ibisplank.gateway._headers import HeaderNames
 from ibisplank.gateway._model import (
     CallerLimits,
@@ -24,7 +24,7 @@
     ServiceConfig,
     TrafficShare,
 )
-from ibisplank.gateway._settings import GatewaySettings
+from ibisplank.gateway._settings import GatewaySettings, Platform
 
 __all__ = (
     'CallerLimits',
--- a/ibisplank/gateway/_gateway.py
+++ b/ibisplank/gateway/_gateway.py
@@ -3,8 +3,7 @@
 import math
 import random
 import signal
-from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
+from collections.abc import AsyncIterator
 
 import anyio
 from anyio.abc import TaskGroup
@@ -17,23 +16,23 @@
     make_server,
     send_answer,
 )
-from ibisplank.errors import SettingError, StoreError
+from ibisplank.errors import SettingError
 from ibisplank.gateway._cluster import ClusterState
-from ibisplank.gateway._decoding import Decoder, MemberRecord
+from ibisplank.gateway._decoding import MemberRecord
 from ibisplank.gateway._fleet import Fleet
 from ibisplank.gateway._forwarder import Forwarder
 from ibisplank.gateway._frontend import Frontend
 from ibisplank.gateway._gauges import GatewayGauges
 from ibisplank.gateway._handover import Handover
 from ibisplank.gateway._handoverserver import HandoverServer
-from ibisplank.gateway._headers import HeaderNames
 from ibisplank.gateway._mesh import Mesh
 from ibisplank.gateway._metrics import GatewayMetrics
 from ibisplank.gateway._partition import ServerPartition
 from ibisplank.gateway._pathchecker import PathChecker
 from ibisplank.gateway._placing import ServerSelector
 from ibisplank.gateway._prober import Prober
-from ibisplank.gateway._settings import GatewaySettings
+from ibisplank.gateway._registration import Registration
+from ibisplank.gateway._settings import GatewaySettings, Platform
 from ibisplank.gateway._suspects import SuspectCalls
 from ibisplank.gateway._watcher import make_watchers
 from ibisplank.ids import ServerId
@@ -44,10 +43,8 @@
     read_clock,
     split_address,
 )
-from ibisplank.store import RowStore, TableUpdate, Topic
+from ibisplank.store import TableUpdate, Topic
 
-REGISTER_TIMEOUT_S = 0.5
-REGISTER_RETRY_S = (0.3, 0.8)
 #: Time after which the platform's balancer has seen that this process is no
 #: longer ready.
 READINESS_DELAY_S = 2.6
@@ -59,25 +56,6 @@
 UNAVAILABLE = 503
 
 
-@dataclass(frozen=True, slots=True)
-class Platform:
-    """Interface to the platform that a gateway runs on.
-
-    Attributes
-    ----------
-    encode_member : callable
-        Returns the content of the row of a gateway.
-    reload : callable
-        Reads the settings file again.
-    """
-
-    store: RowStore
-    decode: Decoder
-    encode_member: Callable[[MemberRecord], bytes]
-    header_names: HeaderNames
-    reload: Callable[[], GatewaySettings]
-
-
 class Gateway:
     """One gateway process."""
 
@@ -103,9 +81,14 @@
             settings.zone,
             settings.link_mbps,
         )
-        self._row_content = platform.encode_member(self._own)
-        self._registered_era: int | None = None
-        self._registration_lost = anyio.Event()
+        self._registration = Registration(
+            self.member,
+            settings.vm,
+            platform.encode_member(self._own),
+            platform.store,
+            self.cluster,
+            rng,
+        )
         self._fleet = Fleet(
             self.member,
             self.cluster,
@@ -226,7 +209,7 @@
     def _start_tasks(self, group: TaskGroup) -> None:
         group.start_soon(self._lines.run)
         group.start_soon(self._mesh.run)
-        group.start_soon(self._keep_registered)
+        group.start_soon(self._registration.run)
         for watcher in make_watchers(
             self._store,
             self.cluster,
@@ -251,7 +234,7 @@
         self.cluster.apply(update, read_clock())
         if update.topic is Topic.MEMBERS:
             self._mesh.update_groups()
-            self._check_registration()
+            self._registration.check()
         self._apply_limits()
 
     def _handle_path_change(self) -> None:
@@ -259,42 +242,6 @@
         self._mesh.paths.announce()
         self._forwarder.repeat_lost()
 
-    def _check_registration(self) -> None:
-        """Register again if the store has lost the row of this gateway.
-
-        A store that was restored from a copy has lost what it confirmed since.
-        """
-        rows = self.cluster.rows[Topic.MEMBERS]
-        if self._registered_era is None or rows.era <= self._registered_era:
-            return
-        row = rows.find(self._settings.vm)
-        if row is None or row.content != self._row_content:
-            self._registration_lost.set()
-
-    async def _keep_registered(self) -> None:
-        while True:
-            self._registered_era = await self._register()
-            self._registration_lost = anyio.Event()
-            self._check_registration()
-            await self._registration_lost.wait()
-
-    async def _register(self) -> int:
-        """Write the row of this gateway until it succeeds; return the era."""
-        while True:
-            try:
-                era = await self._store.put_row(
-                    Topic.MEMBERS,
-                    self._settings.vm,
-                    self._row_content,
-                    REGISTER_TIMEOUT_S,
-                )
-            except StoreError as error:
-                log_event('own row not written', error=str(error))
-                await anyio.sleep(self._rng.uniform(*REGISTER_RETRY_S))
-                continue
-            log_event('joined', member=self.member, era=era)
-            return era
-
     def _apply_limits(self) -> None:
         idle_s = self.cluster.config.limits.idle_timeout_s
         for server in self._servers:
--- a/ibisplank/gateway/_settings.py
+++ b/ibisplank/gateway/_settings.py
@@ -1,9 +1,13 @@
-"""Settings of a gateway process."""
+"""Settings of a gateway process, and the platform that it runs on."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ibisplank.gateway._budget import RetryLimits
+from ibisplank.gateway._decoding import Decoder, MemberRecord
+from ibisplank.gateway._headers import HeaderNames
 from ibisplank.ids import VmId, ZoneId
+from ibisplank.store import RowStore
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,3 +42,22 @@
     retry: RetryLimits
     link_mbps: float = 0.0
     memory_mb: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """Interface to the platform that a gateway runs on.
+
+    Attributes
+    ----------
+    encode_member : callable
+        Returns the content of the row of a gateway.
+    reload : callable
+        Reads the settings file again.
+    """
+
+    store: RowStore
+    decode: Decoder
+    encode_member: Callable[[MemberRecord], bytes]
+    header_names: HeaderNames
+    reload: Callable[[], GatewaySettings]
