Contain what one row, probe, check or call of the store may cost

Change: each row is applied, each server probed and checked, and each call of the store made within a boundary. A call of the store that fails unexpectedly counts as one that failed, with the same delay before the next. Tasks without input from outside (publisher, clean-up, choice of members) still end the process: their state may be wrong, and a restart is the remedy.

--- a/ibisplank/faults.py
+++ b/ibisplank/faults.py
@@ -40,8 +40,8 @@
         A call that another gateway has handed over.
     ROW
         A row of the platform's store.
-    STORE_READ
-        A read of the platform's store.
+    STORE_CALL
+        A read or write of the platform's store, which is repeated.
     PROBE
         A probe of a backend server.
     PATH_CHECK
@@ -54,7 +54,7 @@
     MESSAGE_RECEIVED = 'message_received'
     HANDED_OVER_CALL = 'handed_over_call'
     ROW = 'row'
-    STORE_READ = 'store_read'
+    STORE_CALL = 'store_call'
     PROBE = 'probe'
     PATH_CHECK = 'path_check'
 
--- a/ibisplank/gateway/_cluster.py
+++ b/ibisplank/gateway/_cluster.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ibisplank.faults import FaultLog
+from ibisplank.faults import Boundary, FaultLog
 from ibisplank.gateway._decoding import (
     DecodedConfig,
     DecodedMember,
@@ -82,9 +82,10 @@
             )
         changed = rows.merge(update)
         for row in changed:
-            decoded = self.decode(update.topic, row)
-            if decoded is not None:
-                self._apply_row(decoded, now)
+            with self.faults.contain(Boundary.ROW, key=row.key):
+                decoded = self.decode(update.topic, row)
+                if decoded is not None:
+                    self._apply_row(decoded, now)
         self._return_zones(now)
         return changed
 
--- a/ibisplank/gateway/_pathchecker.py
+++ b/ibisplank/gateway/_pathchecker.py
@@ -8,6 +8,7 @@
 
 from ibisplank.connection import ConnectionPool
 from ibisplank.errors import BackendError, SilentConnection
+from ibisplank.faults import Boundary
 from ibisplank.gateway._fleet import Fleet
 from ibisplank.gateway._healthcheck import make_health_check
 from ibisplank.gateway._model import ServerEntry
@@ -101,10 +102,15 @@
         reached: dict[ServiceId, bool] = {}
 
         async def check_server(entry: ServerEntry) -> None:
-            if await self._is_reached(entry):
-                reached[entry.service] = True
-                now = self.clock()
-                self.paths.record_connection(entry.service, now, worked=True)
+            with self.fleet.cluster.faults.contain(
+                Boundary.PATH_CHECK, server=entry.server
+            ):
+                if await self._is_reached(entry):
+                    reached[entry.service] = True
+                    now = self.clock()
+                    self.paths.record_connection(
+                        entry.service, now, worked=True
+                    )
 
         async with anyio.create_task_group() as group:
             for service in services:
--- a/ibisplank/gateway/_prober.py
+++ b/ibisplank/gateway/_prober.py
@@ -9,6 +9,7 @@
 
 from ibisplank.connection import Answer, ConnectionPool, ServerReport
 from ibisplank.errors import BackendError, ConnectFailed
+from ibisplank.faults import Boundary
 from ibisplank.figures import MAX_SECONDS, parse_decimal
 from ibisplank.gateway._directory import ServerState
 from ibisplank.gateway._fleet import Fleet
@@ -131,7 +132,12 @@
                     return
                 if pool is None or pool.address != state.entry.address:
                     pool = self.fleet.make_pool(state.entry)
-                await anyio.sleep(await self._probe_once(pool, state, scope))
+                pause_s = PROBE_PAUSE_S
+                with self.fleet.cluster.faults.contain(
+                    Boundary.PROBE, server=server
+                ):
+                    pause_s = await self._probe_once(pool, state, scope)
+                await anyio.sleep(pause_s)
 
     async def _probe_once(
         self,
--- a/ibisplank/gateway/_registration.py
+++ b/ibisplank/gateway/_registration.py
@@ -6,6 +6,7 @@
 import anyio
 
 from ibisplank.errors import StoreError
+from ibisplank.faults import Boundary
 from ibisplank.gateway._cluster import ClusterState
 from ibisplank.ids import MemberId, VmId
 from ibisplank.process import log_event
@@ -63,7 +64,9 @@
                 )
             except StoreError as error:
                 log_event('own row not written', error=str(error))
-                await anyio.sleep(self.rng.uniform(*RETRY_DELAY_S))
-                continue
-            log_event('joined', member=self.member, era=era)
-            return era
+            except Exception as error:
+                self.cluster.faults.record(Boundary.STORE_CALL, error)
+            else:
+                log_event('joined', member=self.member, era=era)
+                return era
+            await anyio.sleep(self.rng.uniform(*RETRY_DELAY_S))
--- a/ibisplank/gateway/_watcher.py
+++ b/ibisplank/gateway/_watcher.py
@@ -2,12 +2,13 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from types import MappingProxyType
 
 import anyio
 
 from ibisplank.errors import HistoryGone, StoreError
+from ibisplank.faults import Boundary, FaultLog
 from ibisplank.gateway._backoff import StoreBackoff
 from ibisplank.gateway._cluster import ClusterState
 from ibisplank.process import log_event
@@ -76,6 +77,7 @@
     count_event: Callable[[str], None]
     backoff: StoreBackoff
     clock: Callable[[], float]
+    faults: FaultLog = field(default_factory=FaultLog)
     _read_count: int = 0
     _history_lost: bool = False
     _store_lost: bool = False
@@ -103,7 +105,13 @@
             self._history_lost = True
             return
         except StoreError as error:
-            self._handle_failure(error)
+            self._handle_failure(str(error))
+            return
+        except Exception as error:
+            self.faults.record(
+                Boundary.STORE_CALL, error, topic=self.topic.value
+            )
+            self._handle_failure(repr(error))
             return
         self.backoff.record_success()
         if self._store_lost:
@@ -139,11 +147,11 @@
             delay_s = min(MAX_RETRY_DELAY_S, doubled_s)
         return delay_s * self.rng.uniform(*JITTER)
 
-    def _handle_failure(self, error: StoreError) -> None:
+    def _handle_failure(self, reason: str) -> None:
         self.backoff.record_failure(self.clock(), self._find_retry_delay_s())
         self.count_event('store read failed')
         if not self._store_lost:
-            log_event('store lost', topic=self.topic.value, error=str(error))
+            log_event('store lost', topic=self.topic.value, error=reason)
         self._store_lost = True
 
 
@@ -172,6 +180,7 @@
             count_event,
             backoff,
             clock,
+            cluster.faults,
         )
 
     return [make_watcher(topic) for topic in Topic]
