Hold the answers of all servers within a share of the VM's memory

Reported by other operators: a server sent bytes that are no answer, without end; the VM that had called it kept them all, ran out of memory, and the calls of its other callers ended with it.

It can happen here. Cause: each answer is cut at 4 MiB, but nothing bounded all answers of a process; a health answer had the same limit. A server that had done it once got the next calls as well, and a gateway all of whose servers did took its paths for lost and handed its calls over, to the next victim.

Change: AnswerMemory counts the bytes of incomplete answers, a tenth of the VM's memory for all. When it is spent, the largest answer of the server that holds most is cut at once, stalled ones too; its call may have run. A server whose answer was too long gets nothing for a second and then one call at a time until a good answer. Health answers are cut at 64 KiB. Bytes that are no answer show that a path works. The kernel keeps 64 KiB a connection.

Weighed: waiting for room, as for bodies of callers: the answers that hold it may never end. Fewer calls at once: a sound server's answers are small.

--- a/ibisplank/connection/__init__.py
+++ b/ibisplank/connection/__init__.py
@@ -1,5 +1,6 @@
 """Connections: HTTP servers and clients, and message streams among peers."""
 
+from ibisplank.connection._answermemory import AnswerMemory
 from ibisplank.connection._asgi import (
     App,
     HttpServer,
@@ -92,6 +93,7 @@
     'HOP_BY_HOP_HEADERS',
     'LOAD_HEADER',
     'Answer',
+    'AnswerMemory',
     'App',
     'CallCancel',
     'CallCrashes',
--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -1,21 +1,26 @@
 """Pools of HTTP connections to backend servers, with limits on idle time."""
 
 import re
+import socket
 from collections.abc import Callable, Sequence
 
 import anyio
 import httpcore
 import msgspec
 
+from ibisplank.connection._answermemory import AnswerMemory
 from ibisplank.connection._stream import BoundedStream
 from ibisplank.errors import (
     AlienAnswer,
     AttemptUnknown,
     ConnectFailed,
     ConnectTimeout,
+    GarbledAnswer,
+    OverlongAnswer,
     RestartSuspected,
     SilentConnection,
     TornAnswer,
+    UnusableAnswer,
 )
 from ibisplank.figures import MAX_STATUS
 
@@ -38,6 +43,10 @@
 #: is closed, as its server may send bytes without end.
 MAX_HEAD_BYTES = 131072
 MAX_ANSWER_BYTES = 4194304
+#: Bytes that the kernel keeps for a connection which is not read. A window of
+#: 64 KiB allows 32 MB a second over a round trip of 2 ms.
+RECEIVE_BUFFER_BYTES = 65536
+SOCKET_OPTIONS = ((socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),)
 FIRST_SUCCESS = 200
 FIRST_REDIRECT = 300
 NO_BODY_STATUSES = frozenset((204, 304))
@@ -69,6 +78,8 @@
     echo : tuple of bytes or None
         Name, in lower case, and content of a header that the answer must
         repeat, so that a late answer to another request is detected.
+    most_bytes : int
+        Length above which the body of the answer is not read.
     """
 
     method: bytes
@@ -81,6 +92,7 @@
     fresh: bool = False
     unsized: bool = False
     echo: tuple[bytes, bytes] | None = None
+    most_bytes: int = MAX_ANSWER_BYTES
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -109,6 +121,7 @@
         raw: httpcore.AsyncHTTP11Connection,
         stream: BoundedStream,
         origin: httpcore.URL,
+        memory: AnswerMemory,
         now: float,
     ) -> None:
         self.answered_at = now
@@ -117,6 +130,8 @@
         self._raw = raw
         self._stream = stream
         self._origin = origin
+        self._memory = memory
+        self._address = f'{origin.host.decode()}:{origin.port}'
 
     @property
     def usable(self) -> bool:
@@ -139,16 +154,61 @@
         SilentConnection
             A read timed out before the head of the answer was complete.
         TornAnswer
-            The answer ended early, stalled or is too long, its length can't
-            be verified, or its status is none.
+            The answer ended early or stalled, its length can't be verified,
+            or its status is none.
         AlienAnswer
             The `echo` header has another content or, in a 2xx answer, is
             missing.
+        OverlongAnswer
+            The answer or its head is too long, or it was cut, as the answers
+            of all servers hold too much memory.
+        GarbledAnswer
+            The head is none.
         AttemptUnknown
-            The connection failed before the head of the answer arrived, or
-            the head is too long.
+            The connection failed before the head of the answer arrived.
         """
-        request = httpcore.Request(
+        scope = anyio.CancelScope()
+        with self._memory.hold(self._address, scope.cancel) as held:
+            self._stream.begin(held)
+            with scope:
+                return await self._exchange(exchange)
+        raise OverlongAnswer('cut, as answers hold too much memory')
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        with anyio.CancelScope(shield=True):
+            await self._raw.aclose()
+
+    async def _exchange(self, exchange: Exchange) -> Answer:
+        self._stream.allow(MAX_HEAD_BYTES)
+        try:
+            response = await self._raw.handle_async_request(
+                self._make_request(exchange)
+            )
+        except httpcore.ReadTimeout as error:
+            raise SilentConnection('no first byte in time') from error
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            raise self._explain_failure(error) from error
+        self._stream.allow(exchange.most_bytes)
+        answer = await self._read_answer(exchange, response)
+        if answer.status > MAX_STATUS:
+            raise TornAnswer(f'no valid status: {answer.status}')
+        _check_echo(exchange.echo, answer, is_first=not self.proven)
+        self.idle_limit_s = _find_idle_limit_s(answer.headers)
+        return answer
+
+    async def _read_answer(
+        self, exchange: Exchange, response: httpcore.Response
+    ) -> Answer:
+        try:
+            return await _read_answer(exchange, response)
+        except TornAnswer as error:
+            if self._stream.exceeded:
+                raise OverlongAnswer(str(error)) from error
+            raise
+
+    def _make_request(self, exchange: Exchange) -> httpcore.Request:
+        return httpcore.Request(
             exchange.method,
             httpcore.URL(
                 scheme=self._origin.scheme,
@@ -160,25 +220,14 @@
             content=exchange.body,
             extensions={'timeout': {'read': exchange.first_byte_s}},
         )
-        self._stream.allow(MAX_HEAD_BYTES)
-        try:
-            response = await self._raw.handle_async_request(request)
-        except httpcore.ReadTimeout as error:
-            raise SilentConnection('no first byte in time') from error
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            raise AttemptUnknown(str(error)) from error
-        self._stream.allow(MAX_ANSWER_BYTES)
-        answer = await _read_answer(exchange, response)
-        if answer.status > MAX_STATUS:
-            raise TornAnswer(f'no valid status: {answer.status}')
-        _check_echo(exchange.echo, answer, is_first=not self.proven)
-        self.idle_limit_s = _find_idle_limit_s(answer.headers)
-        return answer
 
-    async def aclose(self) -> None:
-        """Close the connection."""
-        with anyio.CancelScope(shield=True):
-            await self._raw.aclose()
+    def _explain_failure(self, error: Exception) -> AttemptUnknown:
+        """Return why no head of an answer was received."""
+        if self._stream.exceeded:
+            return OverlongAnswer(str(error))
+        if self._stream.heard and isinstance(error, httpcore.ProtocolError):
+            return GarbledAnswer(str(error))
+        return AttemptUnknown(str(error))
 
 
 def _find_idle_limit_s(headers: Headers) -> float:
@@ -252,8 +301,10 @@
     clock : callable
         Monotonic clock in seconds.
     on_new : callable
-        Called when a new connection has carried its first answer, could not be
-        opened, or was closed before.
+        Called when a new connection has carried its first answer, also one
+        that is unusable, could not be opened, or was closed before.
+    memory : AnswerMemory or None
+        What incomplete answers take their memory from.
     """
 
     def __init__(
@@ -261,8 +312,10 @@
         address: str,
         clock: Callable[[], float],
         on_new: ConnectionListener = _ignore,
+        memory: AnswerMemory | None = None,
     ) -> None:
         self.address = address
+        self._memory = memory or AnswerMemory()
         self._clock = clock
         self._on_new = on_new
         host, _, port = address.rpartition(':')
@@ -297,8 +350,9 @@
             await connection.aclose()
             await self._close_idle_since(connection.answered_at)
             raise
-        except AttemptUnknown:
-            self._report_new(connection, worked=False)
+        except AttemptUnknown as error:
+            worked = isinstance(error, UnusableAnswer)
+            self._report_new(connection, worked=worked)
             await connection.aclose()
             raise
         except BaseException:
@@ -384,6 +438,7 @@
                 self._host,
                 self._port,
                 timeout=CONNECT_TIMEOUT_S,
+                socket_options=SOCKET_OPTIONS,
             )
         except httpcore.TimeoutException as error:
             self._on_new(False)
@@ -392,9 +447,11 @@
             self._on_new(False)
             raise ConnectFailed(str(error)) from error
         origin = httpcore.Origin(b'http', self._host.encode(), self._port)
-        bounded = BoundedStream(stream)
+        bounded = BoundedStream(stream, self._memory)
         raw = httpcore.AsyncHTTP11Connection(origin, bounded)
-        return Connection(raw, bounded, self._origin, self._clock())
+        return Connection(
+            raw, bounded, self._origin, self._memory, self._clock()
+        )
 
     async def _close_idle_since(self, answered_at: float) -> None:
         """Close idle connections that last answered at a given time or earlier.
--- a/ibisplank/connection/_stream.py
+++ b/ibisplank/connection/_stream.py
@@ -6,6 +6,8 @@
 import anyio
 import httpcore
 
+from ibisplank.connection._answermemory import AnswerMemory, HeldAnswer
+
 #: Bytes per read. The event loop is blocked while they are parsed.
 MAX_READ_BYTES = 16384
 #: A longer request is written in parts of this size, and an answer awaited
@@ -20,12 +22,31 @@
 
     A server may send bytes without end, which the parser would buffer or skip
     until the deadline of the call.
+
+    Attributes
+    ----------
+    exceeded : bool
+        Whether an answer was longer than allowed.
     """
 
-    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+    def __init__(
+        self, stream: httpcore.AsyncNetworkStream, memory: AnswerMemory
+    ) -> None:
+        self.exceeded = False
         self._stream = stream
+        self._memory = memory
+        self._answer = HeldAnswer('')
         self._left = 0
 
+    @property
+    def heard(self) -> bool:
+        """Whether any byte of the current answer was received."""
+        return self._answer.size > 0
+
+    def begin(self, answer: HeldAnswer) -> None:
+        """Account for what is read from now on as a new answer."""
+        self._answer = answer
+
     def allow(self, most_bytes: int) -> None:
         """Set how many more bytes may be read."""
         self._left = most_bytes
@@ -39,11 +60,13 @@
             The answer is longer than allowed.
         """
         if self._left <= 0:
+            self.exceeded = True
             raise httpcore.ReadError('the answer is longer than allowed')
         received = await self._stream.read(
             min(max_bytes, MAX_READ_BYTES), timeout
         )
         self._left -= len(received)
+        self._memory.add(self._answer, len(received))
         return received
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
--- a/ibisplank/errors.py
+++ b/ibisplank/errors.py
@@ -140,11 +140,23 @@
     """The request may have run, but no complete answer arrived."""
 
 
-class TornAnswer(AttemptUnknown):
+class UnusableAnswer(AttemptUnknown):
+    """The server was reached, but sent bytes that are no complete answer."""
+
+
+class GarbledAnswer(UnusableAnswer):
+    """The server sent bytes that are no HTTP answer."""
+
+
+class OverlongAnswer(UnusableAnswer):
+    """The server sent more bytes than this process can hold."""
+
+
+class TornAnswer(UnusableAnswer):
     """The answer ended early or stalled, or its length can't be verified."""
 
 
-class AlienAnswer(AttemptUnknown):
+class AlienAnswer(UnusableAnswer):
     """The answer names another request, or none."""
 
 
--- a/ibisplank/gateway/_attempts.py
+++ b/ibisplank/gateway/_attempts.py
@@ -6,7 +6,12 @@
 import anyio
 
 from ibisplank.connection import Answer, ConnectionPool, Exchange
-from ibisplank.errors import AttemptUnknown, ConnectFailed, SilentConnection
+from ibisplank.errors import (
+    AttemptUnknown,
+    ConnectFailed,
+    OverlongAnswer,
+    SilentConnection,
+)
 from ibisplank.gateway._activecall import ActiveCall
 from ibisplank.gateway._answers import AnswerKind, classify_answer
 from ibisplank.gateway._fleet import Fleet
@@ -21,6 +26,7 @@
 from ibisplank.gateway._statementreader import StatementReader
 from ibisplank.gateway._suspects import SuspectCalls
 from ibisplank.ids import ServiceId
+from ibisplank.process import log_event
 
 #: A call is suspect if its server reports more than this many times the
 #: slowdown that was known when the attempt started. The server may already have
@@ -28,6 +34,9 @@
 SUSPECT_FACTOR = 2.0
 #: Time for the check whether a server that broke a call off still listens.
 CRASH_CHECK_S = 0.1
+#: Time for which a server gets no calls after an answer that was too long, and
+#: after which it gets one at a time until a good answer.
+OVERLONG_PAUSE_S = 1.0
 #: The deadline that is sent to a server is this much earlier than that of the
 #: caller.
 DEADLINE_MARGIN_S = 0.005
@@ -123,16 +132,32 @@
             )
         except AttemptUnknown as error:
             chosen.stats.record_failure(self._clock())
-            if isinstance(error, SilentConnection):
-                self._record_silence(active, chosen)
-            else:
-                await self._check_crash(active, chosen, connection_pool)
+            match error:
+                case SilentConnection():
+                    self._record_silence(active, chosen)
+                case OverlongAnswer():
+                    self._spare_server(chosen, active)
+                case _:
+                    await self._check_crash(active, chosen, connection_pool)
             active.record_failure(
                 chosen.server, Outcome.UNKNOWN, self._clock(), repr(error)
             )
         else:
             self._handle_answer(active, chosen, answer, sent_at)
 
+    def _spare_server(self, chosen: Candidate, active: ActiveCall) -> None:
+        """Send nothing to a server that sends without end, then one call."""
+        self._fleet.quiet.record(
+            chosen.state.entry.key, OVERLONG_PAUSE_S, self._clock()
+        )
+        log_event(
+            'answer too long',
+            id=active.call.head.request_id.decode('latin-1'),
+            server=chosen.server,
+            held=self._fleet.answers.held,
+            cuts=self._fleet.answers.cuts,
+        )
+
     async def _check_crash(
         self, active: ActiveCall, chosen: Candidate, pool: ConnectionPool
     ) -> None:
--- a/ibisplank/gateway/_bodies.py
+++ b/ibisplank/gateway/_bodies.py
@@ -9,14 +9,12 @@
 
 from ibisplank.connection import Receive, receive_parts
 from ibisplank.gateway._headers import Headers, find_header
+from ibisplank.gateway._settings import share_memory
 
 #: Part of the VM's memory that the bodies of all calls may take. Each of their
 #: bytes is held up to three times: as received, as joined, and in the buffer
 #: of the connection to the server.
 BODY_MEMORY_SHARE = 0.15
-#: Memory that is assumed if the settings state none.
-DEFAULT_MEMORY_MB = 200.0
-BYTES_PER_MB = 1000000
 
 
 class BodyFailure(Enum):
@@ -54,8 +52,7 @@
     @classmethod
     def for_vm(cls, memory_mb: float) -> 'BodyMemory':
         """Return the memory for bodies on a VM."""
-        total = (memory_mb or DEFAULT_MEMORY_MB) * BYTES_PER_MB
-        return cls(int(total * BODY_MEMORY_SHARE))
+        return cls(share_memory(memory_mb, BODY_MEMORY_SHARE))
 
     def take(self, size: int) -> bool:
         """Take some bytes; return whether there is room for them.
--- a/ibisplank/gateway/_fleet.py
+++ b/ibisplank/gateway/_fleet.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable, Collection, Iterable, Set
 from dataclasses import dataclass, field
 
-from ibisplank.connection import ConnectionPool, ServerReport
+from ibisplank.connection import AnswerMemory, ConnectionPool, ServerReport
 from ibisplank.gateway._cluster import ClusterState
 from ibisplank.gateway._directory import ServerState
 from ibisplank.gateway._model import ServerEntry, ServerKey
@@ -55,6 +55,8 @@
         This process.
     partition : ServerPartition
         Assignment of servers to groups of gateways.
+    answers : AnswerMemory
+        Memory for the answers of all servers.
     list_connected : callable
         Returns the gateways with an open stream.
     confirm_path : callable
@@ -75,6 +77,7 @@
     cold_pacer: ColdServerPacer = field(default_factory=ColdServerPacer)
     occupancy: Occupancy = field(default_factory=Occupancy)
     tokens: TokenClient = field(default_factory=TokenClient)
+    answers: AnswerMemory = field(default_factory=AnswerMemory)
     quiet: QuietServers = field(init=False)
     own_paths: OwnPaths = field(default_factory=OwnPaths)
     path_states: PathStates = field(default_factory=PathStates)
@@ -138,7 +141,9 @@
                 entry.service, self.clock(), worked=worked
             )
 
-        return ConnectionPool(entry.address, self.clock, record_new)
+        return ConnectionPool(
+            entry.address, self.clock, record_new, self.answers
+        )
 
     def is_outage(self, service: ServiceId) -> bool:
         """Return whether none of the connected gateways reaches a service."""
--- a/ibisplank/gateway/_gateway.py
+++ b/ibisplank/gateway/_gateway.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 
 from ibisplank.connection import (
+    AnswerMemory,
     HttpServer,
     Receive,
     Scope,
@@ -32,7 +33,11 @@
 from ibisplank.gateway._placing import ServerSelector
 from ibisplank.gateway._prober import Prober
 from ibisplank.gateway._registration import Registration
-from ibisplank.gateway._settings import GatewaySettings, Platform
+from ibisplank.gateway._settings import (
+    GatewaySettings,
+    Platform,
+    share_memory,
+)
 from ibisplank.gateway._suspects import SuspectCalls
 from ibisplank.gateway._watcher import make_watchers
 from ibisplank.ids import ServerId
@@ -49,6 +54,9 @@
 #: longer ready.
 READINESS_DELAY_S = 2.6
 CLEANUP_S = 1.0
+#: Part of the VM's memory that incomplete answers of servers may take. Each of
+#: their bytes is held once, and twice while the last one is joined.
+ANSWER_MEMORY_SHARE = 0.1
 #: Signals that are handled from the start to the end of a process, so that none
 #: of them kills it while calls are in flight.
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -95,6 +103,9 @@
             ServerPartition(self._own, self.cluster.directory),
             read_clock,
             rng,
+            answers=AnswerMemory(
+                share_memory(settings.memory_mb, ANSWER_MEMORY_SHARE)
+            ),
         )
         self.suspects = SuspectCalls(read_clock)
         self.cluster.on_server_end = self.suspects.record_end
--- a/ibisplank/gateway/_gauges.py
+++ b/ibisplank/gateway/_gauges.py
@@ -59,11 +59,28 @@
             ),
             ('log_lines_dropped', 'Log lines dropped', self.lines.dropped),
         )
-        for name, help_text, amount in (*shown, *self._list_servers(now)):
+        servers = (*self._list_servers(now), *self._list_answers())
+        for name, help_text, amount in (*shown, *servers):
             metrics.set_gauge(name, help_text, float(amount))
         for boundary in Boundary:
             metrics.show_faults(boundary, cluster.faults.count(boundary))
 
+    def _list_answers(self) -> tuple[tuple[str, str, int], ...]:
+        """Return the gauges of the answers of all servers."""
+        answers = self.fleet.answers
+        return (
+            (
+                'answer_bytes',
+                'Memory taken for incomplete answers of servers',
+                answers.held,
+            ),
+            (
+                'answers_cut',
+                'Answers cut, as they held too much memory',
+                answers.cuts,
+            ),
+        )
+
     def _list_servers(self, now: float) -> tuple[tuple[str, str, int], ...]:
         """Return the gauges of the backend servers."""
         directory = self.fleet.cluster.directory
--- a/ibisplank/gateway/_healthcheck.py
+++ b/ibisplank/gateway/_healthcheck.py
@@ -5,6 +5,8 @@
 
 #: A health check that is not answered within this time has failed.
 PROBE_TIMEOUT_S = 0.3
+#: A longer answer has failed too.
+MAX_HEALTH_BYTES = 65536
 DEFAULT_HEALTH_PATH = '/health'
 
 
@@ -20,4 +22,5 @@
         first_byte_s=PROBE_TIMEOUT_S,
         proven=False,
         unsized=True,
+        most_bytes=MAX_HEALTH_BYTES,
     )
--- a/ibisplank/gateway/_pathchecker.py
+++ b/ibisplank/gateway/_pathchecker.py
@@ -7,7 +7,7 @@
 import anyio
 
 from ibisplank.connection import ConnectionPool
-from ibisplank.errors import BackendError, SilentConnection
+from ibisplank.errors import BackendError, SilentConnection, UnusableAnswer
 from ibisplank.faults import Boundary
 from ibisplank.gateway._fleet import Fleet
 from ibisplank.gateway._healthcheck import make_health_check
@@ -120,16 +120,19 @@
         return reached
 
     async def _is_reached(self, entry: ServerEntry) -> bool:
-        """Return whether a server keeps a new connection open.
+        """Return whether a server sends anything or keeps a connection open.
 
-        Some servers answer health checks only when a slot is free.
+        Some servers answer health checks only when a slot is free, and some
+        with bytes that are no answer.
         """
-        pool = ConnectionPool(entry.address, self.clock)
+        pool = ConnectionPool(
+            entry.address, self.clock, memory=self.fleet.answers
+        )
         check = make_health_check(entry, self.fleet.cluster.config)
         with anyio.move_on_after(CHECK_TIMEOUT_S):
             try:
                 await pool.exchange(check)
-            except SilentConnection:
+            except (SilentConnection, UnusableAnswer):
                 return True
             except BackendError:
                 return False
--- a/ibisplank/gateway/_settings.py
+++ b/ibisplank/gateway/_settings.py
@@ -9,6 +9,19 @@
 from ibisplank.ids import VmId, ZoneId
 from ibisplank.store import RowStore
 
+#: Memory that is assumed if the settings state none.
+DEFAULT_MEMORY_MB = 200.0
+BYTES_PER_MB = 1000000
+
+
+def share_memory(memory_mb: float, share: float) -> int:
+    """Return a part of the memory of a VM in bytes.
+
+    >>> share_memory(300.0, 0.1)
+    30000000
+    """
+    return int((memory_mb or DEFAULT_MEMORY_MB) * BYTES_PER_MB * share)
+
 
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
