Keep the links to gateways that still have calls of this one

Callers would have seen 502 for calls that another gateway was serving, at the moment when their own gateway reached its servers again.

--- a/ibisplank/gateway/_handover.py
+++ b/ibisplank/gateway/_handover.py
@@ -141,6 +141,10 @@
             if pending.peer == member:
                 pending.ended.set()
 
+    def list_busy_peers(self) -> set[MemberId]:
+        """Return the gateways that have calls of this one."""
+        return {pending.peer for pending in self._pending.values()}
+
     async def _exchange(
         self, active: ActiveCall, peer: MemberId, attempts: int
     ) -> CallReply:
--- a/ibisplank/gateway/_pathexchange.py
+++ b/ibisplank/gateway/_pathexchange.py
@@ -82,10 +82,15 @@
                 self.server.cancel(member, message)
 
     def choose_helpers(self) -> set[MemberId]:
-        """Return the gateways to connect to, to hand calls over to them."""
+        """Return the gateways to connect to, to hand calls over to them.
+
+        Those that have calls of this one stay connected until these have
+        ended, also if the servers are reached again.
+        """
+        busy = self.handover.list_busy_peers()
         own_paths = self.fleet.own_paths
         if not own_paths.isolated and not own_paths.lost:
-            return set()
+            return busy
         states = self.fleet.path_states
         lost = own_paths.lost or self.fleet.cluster.config.services
         able = [
@@ -95,7 +100,7 @@
         ]
         key = f'helper/{self.fleet.member}'
         able.sort(key=lambda member: score_by_hash(key, member))
-        return set(able[:HELPERS])
+        return busy.union(able[:HELPERS])
 
     def _apply_state(self, state: PathState) -> None:
         """Record and forward the state of another gateway."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -15,6 +15,7 @@
     CallEnding,
     CallReply,
     CallRequest,
+    Hello,
     Message,
 )
 from ibisplank.gateway import (
@@ -23,6 +24,7 @@
     RetryLimits,
     TrafficShare,
 )
+from ibisplank.gateway._activecall import ActiveCall
 from ibisplank.gateway._cluster import ClusterState
 from ibisplank.gateway._fleet import Fleet
 from ibisplank.gateway._forwarder import Forwarder
@@ -33,14 +35,17 @@
     make_reply,
 )
 from ibisplank.gateway._incoming import IncomingCall, parse_head
+from ibisplank.gateway._latency import LatencyWindow
 from ibisplank.gateway._metrics import GatewayMetrics
 from ibisplank.gateway._partition import ServerPartition
+from ibisplank.gateway._pathexchange import PathExchange
 from ibisplank.gateway._placing import ServerSelector
 from ibisplank.gateway._plan import CallResult, Respond
 from ibisplank.gateway._routing import RouteTable
 from ibisplank.gateway._suspects import SuspectCalls
 from ibisplank.ids import MemberId, ServiceId, ZoneId
 from ibisplank.platform import HEADER_NAMES, decode_row
+from ibisplank.process import PeerLinks
 from ibisplank.request import CallDigests
 from tests.gateways import SERVICE, make_config, make_route
 
@@ -51,6 +56,7 @@
 #: left.
 CANCEL_S = 0.5
 PEER = MemberId('peer')
+OTHER = MemberId('other')
 DIGESTS = CallDigests('digest', 'content')
 
 
@@ -343,6 +349,52 @@
     )
 
 
+def test_gateway_that_has_calls_stays_connected_once_the_paths_are_back() -> (
+    None
+):
+    """In large fleets its link was closed, and the calls were lost."""
+
+    async def scenario() -> None:
+        forwarder = make_forwarder()
+        fleet, handover = forwarder._fleet, forwarder._handover
+        links = PeerLinks(Hello(PEER), lambda member: None)
+        paths = PathExchange(fleet, handover, Peer().server, links)
+        handover.send = lambda member, message: True
+        call = IncomingCall(
+            parse_head(
+                {
+                    'method': 'GET',
+                    'raw_path': b'/a/x',
+                    'query_string': b'',
+                    'headers': [],
+                },
+                HEADER_NAMES,
+            ),
+            make_route(),
+            b'',
+            0.0,
+            1.0,
+            DIGESTS,
+        )
+        async with anyio.create_task_group() as group:
+            latencies = LatencyWindow(0.1)
+            active = ActiveCall(
+                call,
+                SERVICE,
+                forwarder._make_plan(call, latencies),
+                group,
+                latencies,
+                lambda service, step: None,
+            )
+            group.start_soon(handover._exchange, active, OTHER, 1)
+            await anyio.wait_all_tasks_blocked()
+            assert paths.choose_helpers() == {OTHER}
+            handover.record_disconnect(OTHER)
+        assert paths.choose_helpers() == set()
+
+    run_scenario(scenario)
+
+
 def test_number_of_calls_is_bounded() -> None:
     async def scenario() -> None:
         peer = Peer()
