--- a/ibisplank/connection/_outbox.py
+++ b/ibisplank/connection/_outbox.py
@@ -1,5 +1,6 @@
 """Messages that wait for the one task that writes to a stream."""
 
+from collections import deque
 from typing import Any
 
 import anyio
@@ -32,26 +33,31 @@
 
     The stream is written to by that task only, so that its loss ends no other
     task, and no frame is interrupted by another.
+
+    Parameters
+    ----------
+    frame_limit : int
+        Messages that are written together at most.
     """
 
-    def __init__(self, faults: FaultLog) -> None:
+    def __init__(
+        self, faults: FaultLog, frame_limit: int = OUTBOX_LIMIT
+    ) -> None:
         self._faults = faults
-        self._frame = _Frame()
+        self._frame_limit = frame_limit
+        self._frames = deque((_Frame(),))
+        self._waiting = 0
         self._wake = anyio.Event()
         self._closed = False
 
     def add(self, message: Message) -> bool:
         """Queue a message; return whether the stream is up and has room."""
-        if self._closed or len(self._frame.messages) >= OUTBOX_LIMIT:
-            return False
-        self._frame.messages.append(message)
-        self._wake.set()
-        return True
+        return self._queue(message) is not None
 
     async def deliver(self, message: Message) -> bool:
         """Queue a message, wait for its end; return whether it was written."""
-        frame = self._frame
-        if not self.add(message):
+        frame = self._queue(message)
+        if frame is None:
             return False
         await frame.ended.wait()
         return frame.written
@@ -67,19 +73,29 @@
         try:
             while True:
                 await self._wake.wait()
-                await self._write_frame(stream)
+                self._wake = anyio.Event()
+                while self._waiting:
+                    await self._write_frame(stream)
         finally:
-            self.close()
-
-    def close(self) -> None:
-        """End the messages that have not been written."""
-        self._closed = True
-        self._frame.ended.set()
+            self._close()
+
+    def _queue(self, message: Message) -> _Frame | None:
+        """Queue a message; return its frame, None if there is no room."""
+        if self._closed or self._waiting >= OUTBOX_LIMIT:
+            return None
+        if len(self._frames[-1].messages) >= self._frame_limit:
+            self._frames.append(_Frame())
+        frame = self._frames[-1]
+        frame.messages.append(message)
+        self._waiting += 1
+        self._wake.set()
+        return frame
 
     async def _write_frame(self, stream: Any) -> None:
-        frame = self._frame
-        self._frame = _Frame()
-        self._wake = anyio.Event()
+        frame = self._frames.popleft()
+        self._waiting -= len(frame.messages)
+        if not self._frames:
+            self._frames.append(_Frame())
         try:
             await stream.send_message(Envelope(tuple(frame.messages)))
             frame.written = True
@@ -90,3 +106,9 @@
             raise PeerStreamLost(repr(error)) from error
         finally:
             frame.ended.set()
+
+    def _close(self) -> None:
+        """End the messages that have not been written."""
+        self._closed = True
+        for frame in self._frames:
+            frame.ended.set()
--- a/ibisplank/connection/_peer.py
+++ b/ibisplank/connection/_peer.py
@@ -32,6 +32,10 @@
 #: An outgoing stream that has received nothing for this long is closed.
 PEER_TIMEOUT_S = 2.2
 
+#: Replies in one frame. Some carry an answer of megabytes, which delays the
+#: others of its frame.
+REPLIES_PER_FRAME = 1
+
 #: Exceptions that a stream raises when the peer or the network ends it.
 STREAM_ERRORS = (
     OSError,
@@ -150,7 +154,7 @@
 
     async def exchange(self, stream: Stream[Envelope, Envelope]) -> None:
         """Serve one peer's stream until it ends."""
-        outbox = Outbox(self._faults)
+        outbox = Outbox(self._faults, REPLIES_PER_FRAME)
         outbox.add(Hello(self._member))
         with self._faults.contain(Boundary.PEER_STREAM, STREAM_ERRORS):
             async with anyio.create_task_group() as group:
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -38,6 +38,7 @@
     UnknownMessage,
 )
 from ibisplank.connection._gateways import MAX_UPDATE_BYTES
+from ibisplank.connection._outbox import Outbox
 from ibisplank.connection._peer import (
     METHOD,
     PEER_TIMEOUT_S,
@@ -357,6 +358,35 @@
     anyio.run(run)
 
 
+def test_messages_are_framed_in_order() -> None:
+    """Replies are written one by one, other messages together."""
+
+    class RecordingStream:
+        def __init__(self) -> None:
+            self.frames: list[tuple[Message, ...]] = []
+
+        async def send_message(self, envelope: Envelope) -> None:
+            self.frames.append(envelope.messages)
+
+    async def count_frames(frame_limit: int) -> list[int]:
+        outbox = Outbox(FaultLog(), frame_limit)
+        stream = RecordingStream()
+        sent = [IdleSlots(SERVICE, number) for number in range(7)]
+        assert all(outbox.add(message) for message in sent)
+        async with anyio.create_task_group() as group:
+            group.start_soon(outbox.write_to, stream)
+            await anyio.wait_all_tasks_blocked()
+            group.cancel_scope.cancel()
+        assert [each for frame in stream.frames for each in frame] == sent
+        assert not outbox.add(sent[0])
+        assert not await outbox.deliver(sent[0])
+        return [len(frame) for frame in stream.frames]
+
+    assert anyio.run(count_frames, 1) == [1] * 7
+    assert anyio.run(count_frames, 3) == [3, 3, 1]
+    assert anyio.run(count_frames, 100) == [7]
+
+
 @pytest.mark.parametrize('uvloop', [False, True])
 def test_peers_killed_while_they_get_replies_end_no_task_of_the_process(
     uvloop: bool,
