Make the call of two handover tests in one place

Cause: the test of the links to busy gateways built its call as the test of the split does, line by line. Change: make_call builds it for both. The assertions are as before.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -23,6 +23,7 @@
     DeliverySemantics,
     MemberRecord,
     RetryLimits,
+    RouteConfig,
     TrafficShare,
 )
 from ibisplank.gateway._activecall import ActiveCall
@@ -324,21 +325,23 @@
     )
     route = make_route(shares=shares)
     gateway = make_forwarder()
-    head = parse_head(
-        {
-            'method': 'GET',
-            'raw_path': b'/a/x',
-            'query_string': b'',
-            'headers': [],
-        },
-        HEADER_NAMES,
-    )
-    call = IncomingCall(
-        head, route, b'', 0.0, 1.0, DIGESTS, service=ServiceId(chosen)
-    )
+    call = make_call(route, ServiceId(chosen))
     assert {gateway._choose_service(call) for _ in range(4)} == expected
 
 
+def make_call(
+    route: RouteConfig, service: ServiceId | None = None
+) -> IncomingCall:
+    scope = {
+        'method': 'GET',
+        'raw_path': b'/a/x',
+        'query_string': b'',
+        'headers': [],
+    }
+    head = parse_head(scope, HEADER_NAMES)
+    return IncomingCall(head, route, b'', 0.0, 1.0, DIGESTS, service=service)
+
+
 def make_forwarder() -> Forwarder:
     rng = random.Random(1)
     cluster = ClusterState(decode_row)
@@ -367,22 +370,7 @@
         links = PeerLinks(Hello(PEER), lambda member: None)
         paths = PathExchange(fleet, handover, Peer().server, links)
         handover.send = lambda member, message: True
-        call = IncomingCall(
-            parse_head(
-                {
-                    'method': 'GET',
-                    'raw_path': b'/a/x',
-                    'query_string': b'',
-                    'headers': [],
-                },
-                HEADER_NAMES,
-            ),
-            make_route(),
-            b'',
-            0.0,
-            1.0,
-            DIGESTS,
-        )
+        call = make_call(make_route())
         async with anyio.create_task_group() as group:
             latencies = LatencyWindow(0.1)
             active = ActiveCall(
