Show in logs and metrics what a rejected answer was

The log could not tell the hypotheses apart: it had neither whether a connection had answered before, nor which request an unusable answer named, nor what came with an answer beyond its end.

- An answer knows how many its connection had carried (`earlier=` in the trail).
- The error of an alien answer names its request, status and that count.
- Garbled, torn, overlong and alien answers count as steps of their own.

What is believed is unchanged. The checks of an answer move to a module of their own.

--- a/ibisplank/connection/__init__.py
+++ b/ibisplank/connection/__init__.py
@@ -1,5 +1,6 @@
 """Connections: HTTP servers and clients, and message streams among peers."""
 
+from ibisplank.connection._answer import Answer, check_echo
 from ibisplank.connection._answermemory import AnswerMemory
 from ibisplank.connection._asgi import (
     App,
@@ -14,11 +15,7 @@
     send_answer,
     send_torn_answer,
 )
-from ibisplank.connection._backend import (
-    Answer,
-    ConnectionPool,
-    Exchange,
-)
+from ibisplank.connection._backend import ConnectionPool, Exchange
 from ibisplank.connection._control import (
     ConfigChanges,
     ConfigRequest,
@@ -153,6 +150,7 @@
     'UnknownMessage',
     'VmListUpdate',
     'abort_connection',
+    'check_echo',
     'format_load',
     'make_server',
     'parse_load',
--- /dev/null
+++ b/ibisplank/connection/_answer.py
@@ -0,0 +1,64 @@
+"""Answers of backend servers, and whether they belong to a request."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from ibisplank.errors import AlienAnswer
+
+FIRST_SUCCESS = 200
+FIRST_REDIRECT = 300
+#: Longest part of a header that an error message repeats.
+MAX_SHOWN_BYTES = 64
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """Complete HTTP response of a backend server.
+
+    Attributes
+    ----------
+    earlier : int
+        Answers that its connection had carried before.
+    extra : bytes
+        Bytes received with its end that do not belong to it.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+    earlier: int = 0
+    extra: bytes = b''
+
+
+def check_echo(echo: tuple[bytes, bytes] | None, answer: Answer) -> None:
+    """Raise `AlienAnswer` unless the answer belongs to the request.
+
+    The header may be absent from answers other than 2xx on a new connection.
+    Later ones may be an earlier answer that comes again.
+
+    Parameters
+    ----------
+    echo : tuple of bytes or None
+        Name, in lower case, and content of the header that the answer must
+        repeat, None if any answer belongs to the request.
+    """
+    if echo is None:
+        return
+    name, content = echo
+    for each, text in answer.headers:
+        if each.lower() == name:
+            if text != content:
+                named = text[:MAX_SHOWN_BYTES].decode('latin-1')
+                raise AlienAnswer(_describe(answer, f'names {named!r}'))
+            return
+    if answer.earlier or FIRST_SUCCESS <= answer.status < FIRST_REDIRECT:
+        raise AlienAnswer(_describe(answer, 'names no request'))
+
+
+def _describe(answer: Answer, reason: str) -> str:
+    return (
+        f'{reason}, status {answer.status}, '
+        f'{answer.earlier} answers on the connection before'
+    )
--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -2,16 +2,17 @@
 
 import re
 import socket
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import anyio
+import h11
 import httpcore
 import msgspec
 
+from ibisplank.connection._answer import Answer, Headers, check_echo
 from ibisplank.connection._answermemory import AnswerMemory
 from ibisplank.connection._stream import BoundedStream
 from ibisplank.errors import (
-    AlienAnswer,
     AttemptUnknown,
     ConnectFailed,
     ConnectTimeout,
@@ -47,11 +48,8 @@
 #: 64 KiB allows 32 MB a second over a round trip of 2 ms.
 RECEIVE_BUFFER_BYTES = 65536
 SOCKET_OPTIONS = ((socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),)
-FIRST_SUCCESS = 200
-FIRST_REDIRECT = 300
 NO_BODY_STATUSES = frozenset((204, 304))
 
-Headers = Sequence[tuple[bytes, bytes]]
 #: Called with whether a new connection worked.
 ConnectionListener = Callable[[bool], None]
 _KEEP_ALIVE = re.compile(rb'timeout=(\d{1,9})')
@@ -95,14 +93,6 @@
     most_bytes: int = MAX_ANSWER_BYTES
 
 
-class Answer(msgspec.Struct, frozen=True):
-    """Complete HTTP response of a backend server."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
 class Connection:
     """One HTTP/1.1 connection to a backend server.
 
@@ -112,8 +102,8 @@
         Time of the last answer; until the first one, time of opening.
     idle_limit_s : float
         Longest idle time after which the connection may be reused.
-    proven : bool
-        Whether it has carried an answer.
+    answers : int
+        Answers that it has carried.
     """
 
     def __init__(
@@ -126,7 +116,7 @@
     ) -> None:
         self.answered_at = now
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
-        self.proven = False
+        self.answers = 0
         self._raw = raw
         self._stream = stream
         self._origin = origin
@@ -193,7 +183,7 @@
         answer = await self._read_answer(exchange, response)
         if answer.status > MAX_STATUS:
             raise TornAnswer(f'no valid status: {answer.status}')
-        _check_echo(exchange.echo, answer, is_first=not self.proven)
+        check_echo(exchange.echo, answer)
         self.idle_limit_s = _find_idle_limit_s(answer.headers)
         return answer
 
@@ -201,11 +191,24 @@
         self, exchange: Exchange, response: httpcore.Response
     ) -> Answer:
         try:
-            return await _read_answer(exchange, response)
+            body = await _read_body(exchange, response)
         except TornAnswer as error:
             if self._stream.exceeded:
                 raise OverlongAnswer(str(error)) from error
             raise
+        return Answer(
+            response.status,
+            response.headers,
+            body,
+            self.answers,
+            self._parser.trailing_data[0],
+        )
+
+    @property
+    def _parser(self) -> h11.Connection:
+        """Parser of the answers, which `httpcore` does not make public."""
+        parser: h11.Connection = getattr(self._raw, '_h11_state')  # noqa: B009
+        return parser
 
     def _make_request(self, exchange: Exchange) -> httpcore.Request:
         return httpcore.Request(
@@ -244,10 +247,7 @@
     return DEFAULT_IDLE_LIMIT_S
 
 
-async def _read_answer(
-    exchange: Exchange,
-    response: httpcore.Response,
-) -> Answer:
+async def _read_body(exchange: Exchange, response: httpcore.Response) -> bytes:
     names = {name.lower() for name, _ in response.headers}
     bodyless = exchange.method == b'HEAD' or response.status in NO_BODY_STATUSES
     try:
@@ -261,30 +261,7 @@
     has_length = names & {b'content-length', b'transfer-encoding'}
     if not has_length and not bodyless and not exchange.unsized:
         raise TornAnswer('neither content-length nor chunked')
-    return Answer(response.status, response.headers, body)
-
-
-def _check_echo(
-    echo: tuple[bytes, bytes] | None,
-    answer: Answer,
-    *,
-    is_first: bool,
-) -> None:
-    """Raise `AlienAnswer` unless the answer belongs to the request.
-
-    The header may be absent from answers other than 2xx on a new connection.
-    Later ones may be an earlier answer that comes again.
-    """
-    if echo is None:
-        return
-    name, content = echo
-    for each, text in answer.headers:
-        if each.lower() == name:
-            if text != content:
-                raise AlienAnswer('the answer names another request')
-            return
-    if not is_first or FIRST_SUCCESS <= answer.status < FIRST_REDIRECT:
-        raise AlienAnswer('the answer names no request')
+    return body
 
 
 def _ignore(_: bool) -> None:
@@ -393,11 +370,11 @@
             await connection.aclose()
 
     def _report_new(self, connection: Connection, *, worked: bool) -> None:
-        if not connection.proven:
+        if not connection.answers:
             self._on_new(worked)
 
     def _release(self, connection: Connection) -> None:
-        connection.proven = True
+        connection.answers += 1
         connection.answered_at = self._clock()
         if connection.idle:
             self._idle.append(connection)
--- a/ibisplank/errors.py
+++ b/ibisplank/errors.py
@@ -141,24 +141,40 @@
 
 
 class UnusableAnswer(AttemptUnknown):
-    """The server was reached, but sent bytes that are no complete answer."""
+    """The server was reached, but sent bytes that are no complete answer.
+
+    Attributes
+    ----------
+    kind : str
+        What it sent, for metrics.
+    """
+
+    kind = 'unusable answer'
 
 
 class GarbledAnswer(UnusableAnswer):
     """The server sent bytes that are no HTTP answer."""
 
+    kind = 'garbled answer'
+
 
 class OverlongAnswer(UnusableAnswer):
     """The server sent more bytes than this process can hold."""
 
+    kind = 'overlong answer'
+
 
 class TornAnswer(UnusableAnswer):
     """The answer ended early or stalled, or its length can't be verified."""
 
+    kind = 'torn answer'
+
 
 class AlienAnswer(UnusableAnswer):
     """The answer names another request, or none."""
 
+    kind = 'alien answer'
+
 
 class SilentConnection(AttemptUnknown):
     """A read timed out before the head of the answer was complete."""
--- a/ibisplank/gateway/_attempts.py
+++ b/ibisplank/gateway/_attempts.py
@@ -11,6 +11,7 @@
     ConnectFailed,
     OverlongAnswer,
     SilentConnection,
+    UnusableAnswer,
 )
 from ibisplank.gateway._activecall import ActiveCall
 from ibisplank.gateway._answers import AnswerKind, classify_answer
@@ -40,6 +41,8 @@
 #: The deadline that is sent to a server is this much earlier than that of the
 #: caller.
 DEADLINE_MARGIN_S = 0.005
+#: Bytes after an answer that the log shows.
+MAX_SHOWN_BYTES = 64
 
 
 class AttemptRunner:
@@ -132,6 +135,8 @@
             )
         except AttemptUnknown as error:
             chosen.stats.record_failure(self._clock())
+            if isinstance(error, UnusableAnswer):
+                active.count_step(active.service, error.kind)
             match error:
                 case SilentConnection():
                     self._record_silence(active, chosen)
@@ -204,6 +209,7 @@
         kind = classify_answer(answer, self._header_names)
         request_id = active.call.head.request_id.decode('latin-1')
         self._record_statements(chosen, kind, answer, request_id)
+        self._record_extra(active, chosen, answer)
         match kind:
             case AnswerKind.GOOD:
                 self._record_good(active, chosen, answer, now - sent_at)
@@ -274,13 +280,29 @@
             limit = find_header(headers, self._header_names.rate_limit)
             chosen.stats.limit.record_answer(parse_rate_limit(limit), now)
 
+    def _record_extra(
+        self, active: ActiveCall, chosen: Candidate, answer: Answer
+    ) -> None:
+        """Record that a server sent more than its answer."""
+        if not answer.extra:
+            return
+        active.count_step(active.service, 'bytes after an answer')
+        log_event(
+            'bytes after an answer',
+            id=active.call.head.request_id.decode('latin-1'),
+            server=chosen.server,
+            size=len(answer.extra),
+            begin=answer.extra[:MAX_SHOWN_BYTES].decode('latin-1'),
+        )
+
     def _describe(self, answer: Answer) -> str:
-        """Return the status and the rate limit of an answer, for the log."""
+        """Return what the log shows of an answer."""
+        described = f'{answer.status} earlier={answer.earlier}'
         name = self._header_names.rate_limit
         rate_limit = find_header(list(answer.headers), name)
         if rate_limit is None:
-            return str(answer.status)
-        return f'{answer.status} limit={rate_limit.decode("latin-1")}'
+            return described
+        return f'{described} limit={rate_limit.decode("latin-1")}'
 
     def _make_exchange(
         self,
