--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -9,14 +9,19 @@
 
 from harness.proxy import DISCONNECT_ERRORS
 from harness.site import run_site
+from ibisplank.connection import Answer, ConnectionPool, Exchange
+from ibisplank.errors import BackendError
 from ibisplank.platform import HEADER_NAMES
+from ibisplank.process import read_clock
 from tests.gateways import SERVICE, make_config, make_route
 from tests.serving import serving_stream
 
+TIMEOUT_S = 0.5
 REQUEST_ID = HEADER_NAMES.request_id
 SIGNATURE = HEADER_NAMES.signature
 #: The first line of a head and its headers, in the order of this list.
 SUCCESS = b'200 OK'
+FAILURE = b'500 Internal Server Error'
 
 #: Returns what a server sends for a request: its number on the connection and
 #: its id are given.
@@ -36,6 +41,18 @@
     return b'\r\n'.join((*lines, b'', body))
 
 
+def list_cuts() -> list[bytes]:
+    """Return each beginning of a second answer, with and without an id."""
+    return [
+        second[:count]
+        for second in (
+            render(SUCCESS, b'r0', b'ok'),
+            render(SUCCESS, b'', b'ok'),
+        )
+        for count in range(1, len(second) + 1)
+    ]
+
+
 def make_handler(script: Script) -> Callable[[SocketStream], object]:
     async def handle(stream: SocketStream) -> None:
         received = b''
@@ -59,6 +76,78 @@
     return b''
 
 
+def make_exchange(request_id: bytes) -> Exchange:
+    return Exchange(
+        b'GET',
+        b'/',
+        [(b'host', b'h'), (REQUEST_ID, request_id)],
+        b'',
+        first_byte_s=TIMEOUT_S,
+        proven=False,
+        unsized=True,
+        echo=(REQUEST_ID, request_id),
+    )
+
+
+async def exchange_all(
+    script: Script, request_ids: list[bytes]
+) -> list[Answer | None]:
+    """Return the answers to calls one after the other, None on failure."""
+    answers: list[Answer | None] = []
+    async with serving_stream(make_handler(script)) as address:
+        pool = ConnectionPool(address, read_clock)
+        for request_id in request_ids:
+            answer = None
+            with contextlib.suppress(BackendError):
+                answer = await pool.exchange(make_exchange(request_id))
+            answers.append(answer)
+        await pool.close_idle()
+    return answers
+
+
+@pytest.mark.parametrize('late', [False, True])
+def test_status_of_a_second_answer_cut_short_is_not_that_of_the_next(
+    late: bool,
+) -> None:
+    """A success where the server has answered with a failure."""
+    believed = []
+    for cut in list_cuts():
+
+        def script(number: int, request_id: bytes, cut: bytes = cut) -> bytes:
+            if request_id == b'r0':
+                first = render(SUCCESS, b'r0', b'first')
+                return first if late else first + cut
+            failure = render(FAILURE, request_id, b'failed')
+            return cut + failure if late and number else failure
+
+        answers = anyio.run(exchange_all, script, [b'r0', b'r1'])
+        if answers[1] is not None and answers[1].status != 500:
+            believed.append((cut, answers[1]))
+    assert believed == []
+
+
+def test_call_sent_again_gets_no_late_answer_to_its_first_send() -> None:
+    """A client that repeats a request with its id gets a success instead."""
+
+    def script(number: int, request_id: bytes) -> bytes:
+        late = render(SUCCESS, request_id, b'ok') if number else b''
+        return late + render(FAILURE, request_id, b'failed')
+
+    answers = anyio.run(exchange_all, script, [b'r0', b'r0', b'r0'])
+    assert [each and each.status for each in answers] == [500, 500, 500]
+
+
+@pytest.mark.parametrize('named', [b'', b'r0', b'r1'])
+def test_bytes_after_an_answer_cost_the_next_call_nothing(named: bytes) -> None:
+    def script(number: int, request_id: bytes) -> bytes:
+        own = render(SUCCESS, request_id, b'own ' + request_id)
+        return own + render(SUCCESS, named, b'ok')
+
+    answers = anyio.run(exchange_all, script, [b'r0', b'r1', b'r2'])
+    bodies = [each and each.body for each in answers]
+    assert bodies == [b'own r0', b'own r1', b'own r2']
+
+
 async def send_calls(
     script: Script, *request_ids: str
 ) -> tuple[list[int], str]:
@@ -93,3 +182,17 @@
 
     _, metrics = anyio.run(send_calls, script, 'c0', 'c1')
     assert f'step="{step}"' in metrics
+
+
+def test_caller_gets_no_success_where_the_server_answered_a_failure() -> None:
+    """The second answer ends within its first line, as the next call comes."""
+
+    def script(number: int, request_id: bytes) -> bytes:
+        if request_id == b'c0':
+            return render(SUCCESS, request_id, b'first')
+        failure = render(FAILURE, request_id, b'failed')
+        return b'HTTP/1.1 200 ' + failure if number else failure
+
+    statuses, _ = anyio.run(send_calls, script, 'c0', 'c1')
+    assert statuses[0] == 200
+    assert statuses[1] in {500, 502}
