Reuse no connection on which a server sent more than its answer

Callers: the call after an answer with further bytes lost its attempt, and got 502 where it had no other; if the bytes were the beginning of a second answer, it could get that answer's status with an answer of its own.

Cause: whether a connection may be reused was asked of the socket. Bytes that came with the end of an answer are in the parser by then, and were read as the beginning of the next answer.

Bytes that come later are not covered by this.

--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -336,7 +336,7 @@
             await connection.aclose()
             raise
         self._report_new(connection, worked=True)
-        self._release(connection)
+        await self._release(connection, answer)
         return answer
 
     async def can_connect(self) -> bool:
@@ -373,7 +373,11 @@
         if not connection.answers:
             self._on_new(worked)
 
-    def _release(self, connection: Connection) -> None:
+    async def _release(self, connection: Connection, answer: Answer) -> None:
+        """Keep a connection, unless what it carries next may be misread."""
+        if answer.extra:
+            await connection.aclose()
+            return
         connection.answers += 1
         connection.answered_at = self._clock()
         if connection.idle:
