Reject a head that consists of parts of two answers

Callers got a success where their server had answered with a failure, with the id of their request and a server's signature.

Cause: a server that answers twice, the second time late, may end its second answer anywhere. If it ends within the first line or within the value of a header, the parser takes the next answer for its continuation: `HTTP/1.1 200 ` of one, and in its reason phrase, or in a header, the first line of the other. Status and id were believed together, though they came from different answers.

Now a status line within the reason phrase or a header makes the head unusable. Such a line cannot stand elsewhere in a head: it has no colon, so the parser rejects it as a header.

--- a/ibisplank/connection/_answer.py
+++ b/ibisplank/connection/_answer.py
@@ -1,10 +1,11 @@
 """Answers of backend servers, and whether they belong to a request."""
 
+import re
 from collections.abc import Sequence
 
 import msgspec
 
-from ibisplank.errors import AlienAnswer
+from ibisplank.errors import AlienAnswer, GarbledAnswer
 
 FIRST_SUCCESS = 200
 FIRST_REDIRECT = 300
@@ -12,6 +13,7 @@
 MAX_SHOWN_BYTES = 64
 
 Headers = Sequence[tuple[bytes, bytes]]
+_STATUS_LINE = re.compile(rb'HTTP/\d\.\d [1-5]\d\d')
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -32,6 +34,30 @@
     extra: bytes = b''
 
 
+def check_head(reason: bytes, headers: Headers) -> None:
+    """Raise `GarbledAnswer` if a head consists of parts of two answers.
+
+    If a server ends an answer within a line and sends another one, a parser
+    takes the status of the first and the headers of the second.
+
+    Parameters
+    ----------
+    reason : bytes
+        Reason phrase of the status line.
+
+    Examples
+    --------
+    >>> check_head(b'OK', [(b'Via', b'HTTP/1.1 proxy')])
+    >>> check_head(b'OHTTP/1.1 500 Error', [])
+    Traceback (most recent call last):
+    ...
+    ibisplank.errors.GarbledAnswer: another answer begins within the head
+    """
+    for text in (reason, *(text for _, text in headers)):
+        if _STATUS_LINE.search(text):
+            raise GarbledAnswer('another answer begins within the head')
+
+
 def check_echo(echo: tuple[bytes, bytes] | None, answer: Answer) -> None:
     """Raise `AlienAnswer` unless the answer belongs to the request.
 
--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -9,7 +9,12 @@
 import httpcore
 import msgspec
 
-from ibisplank.connection._answer import Answer, Headers, check_echo
+from ibisplank.connection._answer import (
+    Answer,
+    Headers,
+    check_echo,
+    check_head,
+)
 from ibisplank.connection._answermemory import AnswerMemory
 from ibisplank.connection._stream import BoundedStream
 from ibisplank.errors import (
@@ -153,7 +158,7 @@
             The answer or its head is too long, or it was cut, as the answers
             of all servers hold too much memory.
         GarbledAnswer
-            The head is none.
+            The head is none, or that of two answers.
         AttemptUnknown
             The connection failed before the head of the answer arrived.
         """
@@ -179,6 +184,7 @@
             raise SilentConnection('no first byte in time') from error
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             raise self._explain_failure(error) from error
+        check_head(response.extensions['reason_phrase'], response.headers)
         self._stream.allow(exchange.most_bytes)
         answer = await self._read_answer(exchange, response)
         if answer.status > MAX_STATUS:
