Give each call of the tests of bytes an id of its own

All calls of a test had the id id1, as no two calls of the platform have. The replies are the same, with the id of the call in place of id1; what must hold is unchanged.

--- a/tests/test_bytes.py
+++ b/tests/test_bytes.py
@@ -30,7 +30,11 @@
 ENDLESS_TIMEOUT_S = 2.0
 
 
-def make_exchange() -> Exchange:
+#: Stands for the id of the call in a reply.
+OWN = b'id1'
+
+
+def make_exchange(request_id: bytes = OWN) -> Exchange:
     return Exchange(
         b'GET',
         b'/',
@@ -39,15 +43,22 @@
         first_byte_s=TIMEOUT_S,
         proven=False,
         unsized=True,
-        echo=(HEADER_NAMES.request_id, b'id1'),
+        echo=(HEADER_NAMES.request_id, request_id),
     )
 
 
 async def exchange_all(
     replies: list[bytes], *, close: bool
 ) -> list[Answer | None]:
-    """Return the answer to one exchange per scripted reply, None on failure."""
-    remaining = list(replies)
+    """Return the answer to one exchange per scripted reply, None on failure.
+
+    Each call has an id of its own, which takes the place of `OWN` in its reply.
+    """
+    request_ids = [b'%03x' % (0x100 + number) for number in range(len(replies))]
+    remaining = [
+        reply.replace(OWN, request_id)
+        for reply, request_id in zip(replies, request_ids, strict=True)
+    ]
     answers: list[Answer | None] = []
 
     async def serve(stream: anyio.abc.SocketStream) -> None:
@@ -61,10 +72,11 @@
 
     async with serving_stream(serve) as address:
         pool = ConnectionPool(address, read_clock)
-        for _ in replies:
+        for request_id in request_ids:
+            exchange = make_exchange(request_id)
             try:
                 with anyio.fail_after(TIMEOUT_S):
-                    answers.append(await pool.exchange(make_exchange()))
+                    answers.append(await pool.exchange(exchange))
             except (BackendError, TimeoutError):
                 answers.append(None)
         await pool.close_idle()
