Send a request that comes again on a connection of its own

Callers: a client that repeats a request with its id, as HTTP libraries do on a lost connection, got the late answer to the first send: a success where the server had answered both with a failure.

Cause: the id names the request, not the send. On a connection that carried the first send, a late answer to it bears the id that the second one expects. Within a call, ActiveCall.tried keeps a gateway from sending to a server twice; nothing did between calls of the same id.

The pool now remembers, by a hash, which requests it has sent for as long as a connection may be idle, and opens a new connection for one that comes again.

--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -16,6 +16,7 @@
     check_head,
 )
 from ibisplank.connection._answermemory import AnswerMemory
+from ibisplank.connection._sentrequests import SentRequests
 from ibisplank.connection._stream import BoundedStream
 from ibisplank.errors import (
     AttemptUnknown,
@@ -312,6 +313,8 @@
         )
         self._network = httpcore.AnyIOBackend()
         self._idle: list[Connection] = []
+        # No connection is reused that has been idle for longer.
+        self._sent = SentRequests(keep_s=MAX_IDLE_S)
 
     async def exchange(self, exchange: Exchange) -> Answer:
         """Send a request on a connection that meets its requirements.
@@ -390,10 +393,12 @@
             self._idle.append(connection)
 
     async def _acquire(self, exchange: Exchange) -> Connection:
-        if exchange.fresh:
+        now = self._clock()
+        echo = exchange.echo
+        is_repeated = echo is not None and self._sent.record(echo, now)
+        if exchange.fresh or is_repeated:
             self._check_restart(exchange)
             return await self._open()
-        now = self._clock()
         limit = PROVEN_S if exchange.proven else MAX_IDLE_S
         closed = False
         while self._idle:
