Reject a body that another answer completes

Callers: a success whose body was the beginning of one answer and the beginning of the next.

Cause: a server that stops within a body of stated length and answers again fills the rest of the length. Length, id and signature are right then.

A body in which a status line stands is rejected if more bytes follow it, in the parser or on the socket.

Not covered: a second answer that ends exactly at the stated length, and an answer without a length.

--- a/ibisplank/connection/_answer.py
+++ b/ibisplank/connection/_answer.py
@@ -11,6 +11,8 @@
 FIRST_REDIRECT = 300
 #: Longest part of a header that an error message repeats.
 MAX_SHOWN_BYTES = 64
+#: Length of the version and the status.
+STATUS_LINE_BYTES = 12
 
 Headers = Sequence[tuple[bytes, bytes]]
 _STATUS_LINE = re.compile(rb'HTTP/\d\.\d [1-5]\d\d')
@@ -58,6 +60,25 @@
             raise GarbledAnswer('another answer begins within the head')
 
 
+def holds_second_answer(body: bytes, extra: bytes) -> bool:
+    """Return whether another answer begins within a body.
+
+    Parameters
+    ----------
+    extra : bytes
+        What was received after the body.
+
+    Examples
+    --------
+    >>> holds_second_answer(b'beginHTTP/1.1 5', b'00 Error')
+    True
+    >>> holds_second_answer(b'the whole body', b'HTTP/1.1 500 Error')
+    False
+    """
+    found = _STATUS_LINE.search(body + extra[:STATUS_LINE_BYTES])
+    return found is not None and found.start() < len(body)
+
+
 def check_echo(echo: tuple[bytes, bytes] | None, answer: Answer) -> None:
     """Raise `AlienAnswer` unless the answer belongs to the request.
 
--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -14,6 +14,7 @@
     Headers,
     check_echo,
     check_head,
+    holds_second_answer,
 )
 from ibisplank.connection._answermemory import AnswerMemory
 from ibisplank.connection._sentrequests import SentRequests
@@ -203,12 +204,12 @@
             if self._stream.exceeded:
                 raise OverlongAnswer(str(error)) from error
             raise
+        extra = self._parser.trailing_data[0]
+        goes_on = extra or self._raw.has_expired()
+        if goes_on and holds_second_answer(body, extra):
+            raise TornAnswer('another answer begins within the body')
         return Answer(
-            response.status,
-            response.headers,
-            body,
-            self.answers,
-            self._parser.trailing_data[0],
+            response.status, response.headers, body, self.answers, extra
         )
 
     @property
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -196,3 +196,41 @@
     statuses, _ = anyio.run(send_calls, script, 'c0', 'c1')
     assert statuses[0] == 200
     assert statuses[1] in {500, 502}
+
+
+@pytest.mark.parametrize('chunked', [False, True])
+def test_body_that_a_second_answer_completes_is_not_whole(
+    chunked: bool,
+) -> None:
+    """The first answer stops within its body, and another one follows."""
+    body = b'the whole body of the answer'
+    sized = render(SUCCESS, b'r0', body)
+    first = sized
+    if chunked:
+        head = sized.partition(b'content-length')[0]
+        first = head + b'transfer-encoding: chunked\r\n\r\n%x\r\n' % len(body)
+        first += body + b'\r\n0\r\n\r\n'
+    believed = []
+    for count in range(first.index(body), len(first)):
+
+        def script(
+            number: int, request_id: bytes, cut: bytes = first[:count]
+        ) -> bytes:
+            return cut + render(FAILURE, request_id, b'failed')
+
+        answers = anyio.run(exchange_all, script, [b'r0'])
+        if answers[0] is not None:
+            believed.append((count, answers[0].body))
+    assert believed == []
+
+
+@pytest.mark.parametrize('header', [b'', b'connection: close\r\n'])
+def test_body_that_quotes_an_answer_is_whole(header: bytes) -> None:
+    body = b'the server said: HTTP/1.1 500 Internal Server Error'
+
+    def script(number: int, request_id: bytes) -> bytes:
+        answer = render(SUCCESS, request_id, body)
+        return answer.replace(b'content-length', header + b'content-length')
+
+    answers = anyio.run(exchange_all, script, [b'r0', b'r1'])
+    assert [each and each.body for each in answers] == [body, body]
