Check that a reply of another gateway answers the call that was handed over

A fault in a gateway of any build could give a caller the answer to another call.

The reply's request id is now checked as that of a direct answer; a reply that names another request, or a success that names none, counts as one that may have run. test_reply_with_the_answer_to_another_call_is_not_passed_on failed before in three of its six cases.

--- a/ibisplank/gateway/_handover.py
+++ b/ibisplank/gateway/_handover.py
@@ -13,7 +13,9 @@
     CallReply,
     CallRequest,
     Message,
+    check_echo,
 )
+from ibisplank.errors import AlienAnswer
 from ibisplank.gateway._activecall import ActiveCall
 from ibisplank.gateway._answers import AnswerKind, classify_answer
 from ibisplank.gateway._fleet import Fleet
@@ -194,6 +196,19 @@
         sent_at: float,
     ) -> None:
         answer = Answer(reply.status, reply.headers, reply.body)
+        request_id = active.call.head.request_id
+        try:
+            check_echo((self.header_names.request_id, request_id), answer)
+        except AlienAnswer as error:
+            active.count_step(active.service, error.kind)
+            active.record_failure(
+                peer,
+                Outcome.UNKNOWN,
+                self.fleet.clock(),
+                repr(error),
+                attempts,
+            )
+            return
         kind = classify_answer(answer, self.header_names)
         good = kind is AnswerKind.GOOD
         now = self.fleet.clock()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -8,6 +8,7 @@
 
 import anyio
 import pytest
+from anyio.abc import TaskGroup
 
 from harness.proxy import LinkFault
 from harness.site import ServerLinks, Site, run_site
@@ -336,7 +337,7 @@
         'method': 'GET',
         'raw_path': b'/a/x',
         'query_string': b'',
-        'headers': [],
+        'headers': [(HEADER_NAMES.request_id, b'own')],
     }
     head = parse_head(scope, HEADER_NAMES)
     return IncomingCall(head, route, b'', 0.0, 1.0, DIGESTS, service=service)
@@ -359,6 +360,58 @@
     )
 
 
+def make_active(forwarder: Forwarder, group: TaskGroup) -> ActiveCall:
+    call = make_call(make_route())
+    latencies = LatencyWindow(0.1)
+    return ActiveCall(
+        call,
+        SERVICE,
+        forwarder._make_plan(call, latencies),
+        group,
+        latencies,
+        lambda service, step: None,
+    )
+
+
+@pytest.mark.parametrize(
+    ('named', 'status', 'ends'),
+    [
+        (b'own', 200, 200),
+        (b'other', 200, None),
+        (b'', 200, None),
+        (b'own', 500, 500),
+        (b'other', 500, None),
+        (b'', 500, 500),
+    ],
+)
+def test_reply_with_the_answer_to_another_call_is_not_passed_on(
+    named: bytes, status: int, ends: int | None
+) -> None:
+    async def scenario() -> None:
+        forwarder = make_forwarder()
+        handover = forwarder._handover
+        handover.send = lambda member, message: True
+        headers = [(HEADER_NAMES.signature, b's')]
+        if named:
+            headers.append((b'X-Request-Id', named))
+        async with anyio.create_task_group() as group:
+            active = make_active(forwarder, group)
+            active.plan.record_start(0.0)
+            group.start_soon(handover.run, active, OTHER, 0.0)
+            await anyio.wait_all_tasks_blocked()
+            handover.record_reply(
+                OTHER,
+                CallReply(
+                    1, CallEnding.ANSWERED, status, tuple(headers), b'body'
+                ),
+            )
+        action = active.plan.decide(0.0)
+        assert isinstance(action, Respond)
+        assert (action.answer and action.answer.status) == ends
+
+    run_scenario(scenario)
+
+
 def test_gateway_that_has_calls_stays_connected_once_the_paths_are_back() -> (
     None
 ):
@@ -370,17 +423,8 @@
         links = PeerLinks(Hello(PEER), lambda member: None)
         paths = PathExchange(fleet, handover, Peer().server, links)
         handover.send = lambda member, message: True
-        call = make_call(make_route())
         async with anyio.create_task_group() as group:
-            latencies = LatencyWindow(0.1)
-            active = ActiveCall(
-                call,
-                SERVICE,
-                forwarder._make_plan(call, latencies),
-                group,
-                latencies,
-                lambda service, step: None,
-            )
+            active = make_active(forwarder, group)
             group.start_soon(handover._exchange, active, OTHER, 1)
             await anyio.wait_all_tasks_blocked()
             assert paths.choose_helpers() == {OTHER}
