--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -224,6 +224,31 @@
     assert believed == []
 
 
+def test_second_answer_is_no_part_of_a_body_without_a_length() -> None:
+    """The server sends both answers, and closes the connection."""
+    answer = render(SUCCESS, b'r0', b'own body')
+    sized = b'content-length: 8\r\n'
+    first = answer.replace(sized, b'')
+    second = render(SUCCESS, b'', b'ok')
+
+    async def exchange(reply: bytes) -> Answer | None:
+        async def handle(stream: SocketStream) -> None:
+            await stream.receive()
+            await stream.send(reply)
+            await stream.aclose()
+
+        async with serving_stream(handle) as address:
+            with contextlib.suppress(BackendError):
+                pool = ConnectionPool(address, read_clock)
+                return await pool.exchange(make_exchange(b'r0'))
+        return None
+
+    whole = anyio.run(exchange, first)
+    assert whole is not None
+    assert whole.body == b'own body'
+    assert anyio.run(exchange, first + second) is None
+
+
 @pytest.mark.parametrize('header', [b'', b'connection: close\r\n'])
 def test_body_that_quotes_an_answer_is_whole(header: bytes) -> None:
     body = b'the server said: HTTP/1.1 500 Internal Server Error'
