Bound what remembering the requests to a server costs

An OrderedDict finds its oldest key at once. - Ids were kept for the longest idle time of a connection, but one in use lives on: a request that came again after that got the late answer to its first send. A connection now carries requests for as long as ids are kept (30 s). - Connections of requests that come again stayed idle in the pool, one for each. They are closed after their answer.

test_call_sent_again_later_gets_no_late_answer_to_its_first_send (200 for 500) and test_calls_sent_again_leave_no_connections_behind (10 for 1) failed before.

--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -40,6 +40,8 @@
 DEFAULT_IDLE_LIMIT_S = 4.0
 #: Upper limit of the idle time, whatever limit the server states.
 MAX_IDLE_S = 30.0
+#: A connection that was opened longer ago carries no further request.
+MAX_AGE_S = 30.0
 #: Subtracted from the idle limit that a server states, so that no request is
 #: sent on a connection that the server is about to close.
 KEEP_ALIVE_MARGIN_S = 1.0
@@ -105,6 +107,8 @@
 
     Attributes
     ----------
+    opened_at : float
+        Time of opening.
     answered_at : float
         Time of the last answer; until the first one, time of opening.
     idle_limit_s : float
@@ -121,6 +125,7 @@
         memory: AnswerMemory,
         now: float,
     ) -> None:
+        self.opened_at = now
         self.answered_at = now
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.answers = 0
@@ -314,8 +319,7 @@
         )
         self._network = httpcore.AnyIOBackend()
         self._idle: list[Connection] = []
-        # No connection is reused that has been idle for longer.
-        self._sent = SentRequests(keep_s=MAX_IDLE_S)
+        self._sent = SentRequests(keep_s=MAX_AGE_S)
 
     async def exchange(self, exchange: Exchange) -> Answer:
         """Send a request on a connection that meets its requirements.
@@ -330,7 +334,8 @@
         AttemptUnknown
             The request may have run.
         """
-        connection = await self._acquire(exchange)
+        is_repeated = self._record_sent(exchange)
+        connection = await self._acquire(exchange, fresh=is_repeated)
         try:
             answer = await connection.send(exchange)
         except SilentConnection:
@@ -346,7 +351,10 @@
             await connection.aclose()
             raise
         self._report_new(connection, worked=True)
-        await self._release(connection, answer)
+        if is_repeated or answer.extra:
+            await connection.aclose()
+        else:
+            self._release(connection)
         return answer
 
     async def can_connect(self) -> bool:
@@ -383,30 +391,31 @@
         if not connection.answers:
             self._on_new(worked)
 
-    async def _release(self, connection: Connection, answer: Answer) -> None:
-        """Keep a connection, unless what it carries next may be misread."""
-        if answer.extra:
-            await connection.aclose()
-            return
+    def _record_sent(self, exchange: Exchange) -> bool:
+        """Record a request; return whether another connection may carry it."""
+        if exchange.echo is None:
+            return False
+        return self._sent.record(exchange.echo, self._clock())
+
+    def _release(self, connection: Connection) -> None:
         connection.answers += 1
         connection.answered_at = self._clock()
         if connection.idle:
             self._idle.append(connection)
 
-    async def _acquire(self, exchange: Exchange) -> Connection:
-        now = self._clock()
-        echo = exchange.echo
-        is_repeated = echo is not None and self._sent.record(echo, now)
-        if exchange.fresh or is_repeated:
+    async def _acquire(self, exchange: Exchange, *, fresh: bool) -> Connection:
+        if exchange.fresh or fresh:
             self._check_restart(exchange)
             return await self._open()
+        now = self._clock()
         limit = PROVEN_S if exchange.proven else MAX_IDLE_S
         closed = False
         while self._idle:
             connection = self._idle.pop()
             longest_s = min(limit, connection.idle_limit_s)
             recent = connection.answered_at >= now - longest_s
-            if recent and connection.usable:
+            young = connection.opened_at >= now - MAX_AGE_S
+            if recent and young and connection.usable:
                 return connection
             closed = closed or _was_closed_early(connection, now)
             await connection.aclose()
--- a/ibisplank/connection/_sentrequests.py
+++ b/ibisplank/connection/_sentrequests.py
@@ -1,5 +1,6 @@
 """Requests that were sent to a server of late."""
 
+from collections import OrderedDict
 from dataclasses import dataclass, field
 
 
@@ -23,7 +24,8 @@
     """
 
     keep_s: float
-    _times: dict[int, float] = field(default_factory=dict)
+    # A plain dict is slow to find its oldest key after many were removed.
+    _times: OrderedDict[int, float] = field(default_factory=OrderedDict)
 
     def record(self, echo: tuple[bytes, bytes], now: float) -> bool:
         """Record a request; return whether it was sent before.
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -23,9 +23,9 @@
 SUCCESS = b'200 OK'
 FAILURE = b'500 Internal Server Error'
 
-#: Returns what a server sends for a request: its number on the connection and
-#: its id are given.
-Script = Callable[[int, bytes], bytes]
+#: Returns what a server sends, given the ids of the requests before this one on
+#: the connection, and that of this one.
+Script = Callable[[list[bytes], bytes], bytes]
 
 
 def render(
@@ -56,14 +56,15 @@
 def make_handler(script: Script) -> Callable[[SocketStream], object]:
     async def handle(stream: SocketStream) -> None:
         received = b''
-        number = 0
+        earlier: list[bytes] = []
         with contextlib.suppress(*DISCONNECT_ERRORS):
             while True:
                 while b'\r\n\r\n' not in received:
                     received += await stream.receive()
                 head, _, received = received.partition(b'\r\n\r\n')
-                await stream.send(script(number, find_id(head)))
-                number += 1
+                request_id = find_id(head)
+                await stream.send(script(earlier, request_id))
+                earlier.append(request_id)
 
     return handle
 
@@ -113,12 +114,14 @@
     believed = []
     for cut in list_cuts():
 
-        def script(number: int, request_id: bytes, cut: bytes = cut) -> bytes:
+        def script(
+            earlier: list[bytes], request_id: bytes, cut: bytes = cut
+        ) -> bytes:
             if request_id == b'r0':
                 first = render(SUCCESS, b'r0', b'first')
                 return first if late else first + cut
             failure = render(FAILURE, request_id, b'failed')
-            return cut + failure if late and number else failure
+            return cut + failure if late and earlier else failure
 
         answers = anyio.run(exchange_all, script, [b'r0', b'r1'])
         if answers[1] is not None and answers[1].status != 500:
@@ -129,8 +132,8 @@
 def test_call_sent_again_gets_no_late_answer_to_its_first_send() -> None:
     """A client that repeats a request with its id gets a success instead."""
 
-    def script(number: int, request_id: bytes) -> bytes:
-        late = render(SUCCESS, request_id, b'ok') if number else b''
+    def script(earlier: list[bytes], request_id: bytes) -> bytes:
+        late = render(SUCCESS, request_id, b'ok') if earlier else b''
         return late + render(FAILURE, request_id, b'failed')
 
     answers = anyio.run(exchange_all, script, [b'r0', b'r0', b'r0'])
@@ -139,7 +142,7 @@
 
 @pytest.mark.parametrize('named', [b'', b'r0', b'r1'])
 def test_bytes_after_an_answer_cost_the_next_call_nothing(named: bytes) -> None:
-    def script(number: int, request_id: bytes) -> bytes:
+    def script(earlier: list[bytes], request_id: bytes) -> bytes:
         own = render(SUCCESS, request_id, b'own ' + request_id)
         return own + render(SUCCESS, named, b'ok')
 
@@ -173,12 +176,12 @@
 def test_metrics_tell_second_answers_from_other_failures(late: bool) -> None:
     step = 'alien answer' if late else 'bytes after an answer'
 
-    def script(number: int, request_id: bytes) -> bytes:
+    def script(earlier: list[bytes], request_id: bytes) -> bytes:
         own = render(SUCCESS, request_id, b'own')
         second = render(SUCCESS, b'c0', b'ok')
         if not late:
             return own + second
-        return second + own if number else own
+        return second + own if earlier else own
 
     _, metrics = anyio.run(send_calls, script, 'c0', 'c1')
     assert f'step="{step}"' in metrics
@@ -187,11 +190,11 @@
 def test_caller_gets_no_success_where_the_server_answered_a_failure() -> None:
     """The second answer ends within its first line, as the next call comes."""
 
-    def script(number: int, request_id: bytes) -> bytes:
+    def script(earlier: list[bytes], request_id: bytes) -> bytes:
         if request_id == b'c0':
             return render(SUCCESS, request_id, b'first')
         failure = render(FAILURE, request_id, b'failed')
-        return b'HTTP/1.1 200 ' + failure if number else failure
+        return b'HTTP/1.1 200 ' + failure if earlier else failure
 
     statuses, _ = anyio.run(send_calls, script, 'c0', 'c1')
     assert statuses[0] == 200
@@ -214,7 +217,7 @@
     for count in range(first.index(body), len(first)):
 
         def script(
-            number: int, request_id: bytes, cut: bytes = first[:count]
+            earlier: list[bytes], request_id: bytes, cut: bytes = first[:count]
         ) -> bytes:
             return cut + render(FAILURE, request_id, b'failed')
 
@@ -253,9 +256,48 @@
 def test_body_that_quotes_an_answer_is_whole(header: bytes) -> None:
     body = b'the server said: HTTP/1.1 500 Internal Server Error'
 
-    def script(number: int, request_id: bytes) -> bytes:
+    def script(earlier: list[bytes], request_id: bytes) -> bytes:
         answer = render(SUCCESS, request_id, body)
         return answer.replace(b'content-length', header + b'content-length')
 
     answers = anyio.run(exchange_all, script, [b'r0', b'r1'])
     assert [each and each.body for each in answers] == [body, body]
+
+
+def test_call_sent_again_later_gets_no_late_answer_to_its_first_send() -> None:
+    """The connection of the first send was in use all the time."""
+    now = 0.0
+
+    def script(earlier: list[bytes], request_id: bytes) -> bytes:
+        late = render(SUCCESS, request_id, b'late')
+        own = render(FAILURE, request_id, b'failed')
+        return late + own if request_id in earlier else own
+
+    async def scenario() -> list[int]:
+        nonlocal now
+        statuses = []
+        async with serving_stream(make_handler(script)) as address:
+            pool = ConnectionPool(address, lambda: now)
+            for request_id in (b'r0', *(b's%d' % each for each in range(20))):
+                await pool.exchange(make_exchange(request_id))
+                now += 2.0
+            answer = await pool.exchange(make_exchange(b'r0'))
+            statuses.append(answer.status)
+            await pool.close_idle()
+        return statuses
+
+    assert anyio.run(scenario) == [500]
+
+
+def test_calls_sent_again_leave_no_connections_behind() -> None:
+    def script(earlier: list[bytes], request_id: bytes) -> bytes:
+        return render(SUCCESS, request_id, b'own')
+
+    async def scenario() -> int:
+        async with serving_stream(make_handler(script)) as address:
+            pool = ConnectionPool(address, read_clock)
+            for _ in range(10):
+                await pool.exchange(make_exchange(b'r0'))
+            return len(pool._idle)
+
+    assert anyio.run(scenario) == 1
