Notice bytes after an answer that fills a whole read

Callers: after an answer of 16,384, 32,768 or 65,536 bytes, a second answer cost the next call its attempt, or completed a body.

Cause: a read of 16 KiB leaves the rest of what was received in a queue of anyio, which is neither in the parser nor on the socket.

The stream now takes all that was received and hands it on in parts, so that it knows what is left. test_second_answer_after_an_answer_of_any_size_is_noticed failed before for these three of its five sizes.

--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -209,7 +209,7 @@
             if self._stream.exceeded:
                 raise OverlongAnswer(str(error)) from error
             raise
-        extra = self._parser.trailing_data[0]
+        extra = self._parser.trailing_data[0] + self._stream.rest
         goes_on = extra or self._raw.has_expired()
         if goes_on and holds_second_answer(body, extra):
             raise TornAnswer('another answer begins within the body')
--- a/ibisplank/connection/_stream.py
+++ b/ibisplank/connection/_stream.py
@@ -10,6 +10,8 @@
 
 #: Bytes per read. The event loop is blocked while they are parsed.
 MAX_READ_BYTES = 16384
+#: More than an event loop receives at once.
+MAX_RECEIVED_BYTES = 1048576
 #: A longer request is written in parts of this size, and an answer awaited
 #: meanwhile.
 MAX_WRITE_BYTES = 32768
@@ -27,12 +29,15 @@
     ----------
     exceeded : bool
         Whether an answer was longer than allowed.
+    rest : bytes
+        Bytes that were received and not read so far.
     """
 
     def __init__(
         self, stream: httpcore.AsyncNetworkStream, memory: AnswerMemory
     ) -> None:
         self.exceeded = False
+        self.rest = b''
         self._stream = stream
         self._memory = memory
         self._answer = HeldAnswer('')
@@ -62,11 +67,13 @@
         if self._left <= 0:
             self.exceeded = True
             raise httpcore.ReadError('the answer is longer than allowed')
-        received = await self._stream.read(
-            min(max_bytes, MAX_READ_BYTES), timeout
-        )
+        if not self.rest:
+            # The library would keep what is over to itself.
+            self.rest = await self._stream.read(MAX_RECEIVED_BYTES, timeout)
+            self._memory.add(self._answer, len(self.rest))
+        most = min(max_bytes, MAX_READ_BYTES)
+        received, self.rest = self.rest[:most], self.rest[most:]
         self._left -= len(received)
-        self._memory.add(self._answer, len(received))
         return received
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
@@ -115,6 +122,8 @@
 
     def get_extra_info(self, info: str) -> Any:
         """Return information about the stream."""
+        if info == 'is_readable' and self.rest:
+            return True
         return self._stream.get_extra_info(info)
 
     async def _write_parts(self, buffer: bytes, timeout: float | None) -> None:
@@ -124,6 +133,6 @@
 
     async def _stop_on_answer(self, scope: anyio.CancelScope) -> None:
         """Cancel a scope once there is something to read."""
-        while not self._stream.get_extra_info('is_readable'):
+        while not self.get_extra_info('is_readable'):
             await anyio.sleep(ANSWER_POLL_S)
         scope.cancel()
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -301,3 +301,20 @@
             return len(pool._idle)
 
     assert anyio.run(scenario) == 1
+
+
+@pytest.mark.parametrize('size', [16383, 16384, 16385, 32768, 65536])
+def test_second_answer_after_an_answer_of_any_size_is_noticed(
+    size: int,
+) -> None:
+    """Parts of this size are read at a time."""
+
+    def script(earlier: list[bytes], request_id: bytes) -> bytes:
+        own = render(SUCCESS, request_id, b'')
+        head = own.replace(b'length: 0', b'length: 00000')
+        body = b'x' * (size - len(head))
+        return render(SUCCESS, request_id, body) + render(SUCCESS, b'', b'ok')
+
+    for _ in range(5):
+        answers = anyio.run(exchange_all, script, [b'r0', b'r1'])
+        assert [each and each.status for each in answers] == [200, 200]
