Wait for the rest of a second answer that may complete a body

- A body that the beginning of a second answer completes was rejected only if the rest of that answer had arrived.
- A sound body that quotes a status line was rejected if the server closed the connection after it, as a close was taken for more bytes.

If a status line stands in a body, the connection is now read for up to 50 ms: more bytes make the answer unusable, a close or silence does not. An answer without a length that holds a status line stays unusable, as nothing tells where it ends.

test_body_that_the_segments_of_a_second_answer_complete_is_not_whole (2 cases) and test_body_that_quotes_an_answer_is_whole_if_the_server_closes failed before. Not covered: cuts that leave less than the version and the status within the body, if the rest comes later.

--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -53,6 +53,9 @@
 #: is closed, as its server may send bytes without end.
 MAX_HEAD_BYTES = 131072
 MAX_ANSWER_BYTES = 4194304
+#: Time for which the rest of a second answer is awaited if a body holds what
+#: may be its beginning. Segments of one answer arrive closer together.
+SECOND_ANSWER_S = 0.05
 #: Bytes that the kernel keeps for a connection which is not read. A window of
 #: 64 KiB allows 32 MB a second over a round trip of 2 ms.
 RECEIVE_BUFFER_BYTES = 65536
@@ -212,13 +215,26 @@
                 raise OverlongAnswer(str(error)) from error
             raise
         extra = self._parser.trailing_data[0] + self._stream.rest
-        goes_on = extra or self._raw.has_expired()
-        if goes_on and holds_second_answer(body, extra):
+        if holds_second_answer(body, extra) and (
+            extra
+            or not _states_length(response.headers)
+            or await self._goes_on()
+        ):
             raise TornAnswer('another answer begins within the body')
         return Answer(
             response.status, response.headers, body, self.answers, extra
         )
 
+    async def _goes_on(self) -> bool:
+        """Return whether the server sends more after a complete answer."""
+        if not self.idle:
+            return False
+        try:
+            received = await self._stream.read(1, SECOND_ANSWER_S)
+        except (httpcore.TimeoutException, httpcore.NetworkError):
+            return False
+        return bool(received)
+
     @property
     def _parser(self) -> h11.Connection:
         """Parser of the answers, which `httpcore` does not make public."""
@@ -263,7 +279,6 @@
 
 
 async def _read_body(exchange: Exchange, response: httpcore.Response) -> bytes:
-    names = {name.lower() for name, _ in response.headers}
     bodyless = exchange.method == b'HEAD' or response.status in NO_BODY_STATUSES
     try:
         body = await response.aread()
@@ -273,12 +288,18 @@
         raise TornAnswer('no further byte in time') from error
     finally:
         await response.aclose()
-    has_length = names & {b'content-length', b'transfer-encoding'}
+    has_length = _states_length(response.headers)
     if not has_length and not bodyless and not exchange.unsized:
         raise TornAnswer('neither content-length nor chunked')
     return body
 
 
+def _states_length(headers: Headers) -> bool:
+    """Return whether an answer says where its body ends."""
+    names = {name.lower() for name, _ in headers}
+    return not names.isdisjoint((b'content-length', b'transfer-encoding'))
+
+
 def _ignore(_: bool) -> None:
     """Do nothing; the default of a pool."""
 
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -344,3 +344,55 @@
 
     answers = anyio.run(exchange_all, script, [b'r0'])
     assert [each and each.body for each in answers] == [b'own']
+
+
+@pytest.mark.parametrize('uvloop', [False, True])
+def test_body_that_the_segments_of_a_second_answer_complete_is_not_whole(
+    uvloop: bool,
+) -> None:
+    """The second answer goes on some time after the body is complete."""
+    body = b'the whole body of the answer'
+    first = render(SUCCESS, b'r0', body)
+    second = render(FAILURE, b'r0', b'failed')
+    believed = []
+
+    async def exchange(count: int) -> Answer | None:
+        async def handle(stream: SocketStream) -> None:
+            await stream.receive()
+            missing = len(first) - count
+            with contextlib.suppress(*DISCONNECT_ERRORS):
+                await stream.send(first[:count] + second[:missing])
+                await anyio.sleep(0.01)
+                await stream.send(second[missing:])
+                await stream.receive()
+
+        async with serving_stream(handle) as address:
+            pool = ConnectionPool(address, read_clock)
+            with contextlib.suppress(BackendError):
+                return await pool.exchange(make_exchange(b'r0'))
+        return None
+
+    options = {'use_uvloop': uvloop}
+    for count in range(first.index(body), len(first) - 12):
+        answer = anyio.run(exchange, count, backend_options=options)
+        if answer is not None:
+            believed.append((count, answer.body))
+    assert believed == []
+
+
+def test_body_that_quotes_an_answer_is_whole_if_the_server_closes() -> None:
+    body = b'the server said: HTTP/1.1 500 Internal Server Error'
+
+    async def scenario() -> bytes:
+        async def handle(stream: SocketStream) -> None:
+            await stream.receive()
+            await stream.send(render(SUCCESS, b'r0', body))
+            await stream.aclose()
+
+        async with serving_stream(handle) as address:
+            pool = ConnectionPool(address, read_clock)
+            answer = await pool.exchange(make_exchange(b'r0'))
+            await pool.close_idle()
+            return answer.body
+
+    assert anyio.run(scenario) == body
