Close connections to servers that have been idle for too long for any call

Callers: a gateway whose calls may run once kept a descriptor for each of them; with none left it took no new connection and did not recover.

Cause: a call that may run once opens a connection, and its connection goes into the pool, from which only calls of the other kind took or expired one.

Connections now expire by time, whoever uses the pool: as others come back, and each second for pools that are no longer used. One that shows an early restart of its server stays for as long as it shows it.

test_fresh_exchanges_keep_no_connection_beyond_its_idle_time failed before.

--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -143,6 +143,15 @@
         """Whether the connection is open and carries no request."""
         return self._raw.is_idle()
 
+    def is_expired(self, now: float) -> bool:
+        """Return whether the connection has been idle for too long.
+
+        One that its server may have closed as it restarted is kept until it no
+        longer shows that.
+        """
+        longest_s = max(self.idle_limit_s, MIN_SERVER_IDLE_S)
+        return self.answered_at < now - longest_s
+
     async def send(self, exchange: Exchange) -> Answer:
         """Send a request and return the complete answer.
 
@@ -379,6 +388,15 @@
         for connection in idle:
             await connection.aclose()
 
+    async def close_expired(self) -> None:
+        """Close connections that have been idle for too long for any call.
+
+        Calls that need a new connection take none from the pool.
+        """
+        now = self._clock()
+        while self._idle and self._idle[0].is_expired(now):
+            await self._idle.pop(0).aclose()
+
     def _report_new(self, connection: Connection, *, worked: bool) -> None:
         if not connection.answers:
             self._on_new(worked)
@@ -392,6 +410,7 @@
         connection.answered_at = self._clock()
         if connection.idle:
             self._idle.append(connection)
+        await self.close_expired()
 
     async def _acquire(self, exchange: Exchange) -> Connection:
         now = self._clock()
--- a/ibisplank/gateway/_fleet.py
+++ b/ibisplank/gateway/_fleet.py
@@ -249,11 +249,13 @@
         candidate.stats.in_flight -= 1
         self.on_end()
 
-    async def remove_gone(self) -> None:
-        """Remove the statistics and connections of removed servers."""
+    async def remove_unused(self) -> None:
+        """Remove what belongs to removed servers, and expired connections."""
         known = {state.entry.key for state in self.cluster.directory.list_all()}
         for key in [key for key in self._connection_pools if key not in known]:
             await self._connection_pools.pop(key).close_idle()
+        for pool in list(self._connection_pools.values()):
+            await pool.close_expired()
         for key in [key for key in self._stats if key not in known]:
             self._stats.pop(key)
         self.quiet.remove_ended(self.clock())
--- a/ibisplank/gateway/_gateway.py
+++ b/ibisplank/gateway/_gateway.py
@@ -261,7 +261,7 @@
     async def _clean_up(self) -> None:
         while True:
             await anyio.sleep(CLEANUP_S)
-            await self._fleet.remove_gone()
+            await self._fleet.remove_unused()
 
     async def _answer_readiness(
         self,
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -11,6 +11,7 @@
 from harness.processes import LOOPBACK, pick_port
 from harness.proxy import DISCONNECT_ERRORS
 from ibisplank.connection import Answer, ConnectionPool, Exchange
+from ibisplank.connection._backend import DEFAULT_IDLE_LIMIT_S
 from ibisplank.errors import (
     AttemptUnknown,
     ConnectFailed,
@@ -265,3 +266,23 @@
 
     anyio.run(run)
     assert 0 < received < LONG_BODY
+
+
+def test_fresh_exchanges_keep_no_connection_beyond_its_idle_time() -> None:
+    """Only they use the pool, so that none of them takes an idle one out."""
+    now = 0.0
+
+    async def scenario(
+        pool: ConnectionPool, connections: list[SocketStream]
+    ) -> None:
+        nonlocal now
+        for _ in range(20):
+            await pool.exchange(make_exchange(fresh=True))
+            now += 1.0
+        assert len(connections) == 20
+        assert len(pool._idle) <= DEFAULT_IDLE_LIMIT_S + 1
+        now += DEFAULT_IDLE_LIMIT_S
+        await pool.close_expired()
+        assert not pool._idle
+
+    run_scenario([], scenario, lambda: now)
