--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -151,6 +151,15 @@
         """Whether the connection is open and carries no request."""
         return self._raw.is_idle()
 
+    def is_expired(self, now: float) -> bool:
+        """Return whether the connection has been idle for too long.
+
+        One that its server may have closed as it restarted is kept until it no
+        longer shows that.
+        """
+        longest_s = max(self.idle_limit_s, MIN_SERVER_IDLE_S)
+        return self.answered_at < now - longest_s
+
     async def send(self, exchange: Exchange) -> Answer:
         """Send a request and return the complete answer.
 
@@ -374,10 +383,8 @@
             await connection.aclose()
             raise
         self._report_new(connection, worked=True)
-        if is_repeated or answer.extra:
-            await connection.aclose()
-        else:
-            self._release(connection)
+        is_clean = not is_repeated and not answer.extra
+        await self._release(connection, reusable=is_clean)
         return answer
 
     async def can_connect(self) -> bool:
@@ -410,21 +417,33 @@
         for connection in idle:
             await connection.aclose()
 
+    async def close_expired(self) -> None:
+        """Close connections that have been idle for too long for any call.
+
+        Calls that need a new connection take none from the pool.
+        """
+        now = self._clock()
+        while self._idle and self._idle[0].is_expired(now):
+            await self._idle.pop(0).aclose()
+
     def _report_new(self, connection: Connection, *, worked: bool) -> None:
         if not connection.answers:
             self._on_new(worked)
 
     def _record_sent(self, exchange: Exchange) -> bool:
-        """Record a request; return whether another connection may carry it."""
+        """Record a request; return whether it was sent before."""
         if exchange.echo is None:
             return False
         return self._sent.record(exchange.echo, self._clock())
 
-    def _release(self, connection: Connection) -> None:
+    async def _release(self, connection: Connection, *, reusable: bool) -> None:
+        if not reusable:
+            await connection.aclose()
         connection.answers += 1
         connection.answered_at = self._clock()
         if connection.idle:
             self._idle.append(connection)
+        await self.close_expired()
 
     async def _acquire(self, exchange: Exchange, *, fresh: bool) -> Connection:
         if exchange.fresh or fresh:
