Believe no answer without a length whose server is gone at its end

After an answer without a length the server's address is now connected to; if it refuses, the answer counts as torn. This costs a connection for each such answer, and a sound one whose server leaves right after it.

test_answer_that_ends_with_its_server_is_not_whole failed before in the case in which the server ends.

--- a/ibisplank/connection/_answer.py
+++ b/ibisplank/connection/_answer.py
@@ -30,6 +30,8 @@
         Answers that its connection had carried before.
     extra : bytes
         Bytes received with its end that do not belong to it.
+    sized : bool
+        Whether it states where its body ends; otherwise its connection does.
     """
 
     status: int
@@ -37,6 +39,7 @@
     body: bytes
     earlier: int = 0
     extra: bytes = b''
+    sized: bool = True
 
 
 def check_head(head: bytes) -> None:
--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -224,14 +224,13 @@
                 raise OverlongAnswer(str(error)) from error
             raise
         extra = self._parser.trailing_data[0] + self._stream.rest
+        sized = _is_sized(exchange, response)
         if holds_second_answer(body, extra) and (
-            extra
-            or not _states_length(response.headers)
-            or await self._goes_on()
+            extra or not sized or await self._goes_on()
         ):
             raise TornAnswer('another answer begins within the body')
         return Answer(
-            response.status, response.headers, body, self.answers, extra
+            response.status, response.headers, body, self.answers, extra, sized
         )
 
     async def _goes_on(self) -> bool:
@@ -288,7 +287,6 @@
 
 
 async def _read_body(exchange: Exchange, response: httpcore.Response) -> bytes:
-    bodyless = exchange.method == b'HEAD' or response.status in NO_BODY_STATUSES
     try:
         body = await response.aread()
     except (httpcore.NetworkError, httpcore.ProtocolError) as error:
@@ -297,16 +295,17 @@
         raise TornAnswer('no further byte in time') from error
     finally:
         await response.aclose()
-    has_length = _states_length(response.headers)
-    if not has_length and not bodyless and not exchange.unsized:
+    if not _is_sized(exchange, response) and not exchange.unsized:
         raise TornAnswer('neither content-length nor chunked')
     return body
 
 
-def _states_length(headers: Headers) -> bool:
+def _is_sized(exchange: Exchange, response: httpcore.Response) -> bool:
     """Return whether an answer says where its body ends."""
-    names = {name.lower() for name, _ in headers}
-    return not names.isdisjoint((b'content-length', b'transfer-encoding'))
+    names = {name.lower() for name, _ in response.headers}
+    has_length = names & {b'content-length', b'transfer-encoding'}
+    bodyless = exchange.method == b'HEAD' or response.status in NO_BODY_STATUSES
+    return bool(has_length) or bodyless
 
 
 def _ignore(_: bool) -> None:
@@ -369,7 +368,7 @@
         is_repeated = self._record_sent(exchange)
         connection = await self._acquire(exchange, fresh=is_repeated)
         try:
-            answer = await connection.send(exchange)
+            answer = await self._send(connection, exchange)
         except SilentConnection:
             await connection.aclose()
             await self._close_idle_since(connection.answered_at)
@@ -430,6 +429,18 @@
         if not connection.answers:
             self._on_new(worked)
 
+    async def _send(self, connection: Connection, exchange: Exchange) -> Answer:
+        """Send a request and return the complete answer.
+
+        The end of a process closes its connections as the end of an answer
+        without a length does, so that such an answer may be incomplete if its
+        server is gone.
+        """
+        answer = await connection.send(exchange)
+        if not answer.sized and await self.refuses_connections():
+            raise TornAnswer('no length, and its server is gone')
+        return answer
+
     def _record_sent(self, exchange: Exchange) -> bool:
         """Record a request; return whether it was sent before."""
         if exchange.echo is None:
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -1,12 +1,15 @@
 """Servers that answer a request twice, the second time late or cut short."""
 
 import contextlib
+import functools
+import socket
 from collections.abc import Callable
 
 import anyio
 import pytest
 from anyio.abc import SocketStream
 
+from harness.processes import LOOPBACK
 from harness.proxy import DISCONNECT_ERRORS
 from harness.site import run_site
 from ibisplank.connection import Answer, ConnectionPool, Exchange
@@ -396,3 +399,38 @@
             return answer.body
 
     assert anyio.run(scenario) == body
+
+
+def serve_once(listener: socket.socket, reply: bytes, *, ends: bool) -> None:
+    """Answer one request; close the listener as well if the process ends."""
+    stream, _ = listener.accept()
+    stream.recv(4096)
+    if ends:
+        listener.close()
+    stream.sendall(reply)
+    stream.close()
+
+
+@pytest.mark.parametrize('ends', [False, True])
+def test_answer_that_ends_with_its_server_is_not_whole(ends: bool) -> None:
+    """It has no length, and the end of the process closes the connection."""
+    sized = render(SUCCESS, b'r0', b'own body')
+    unsized = sized.replace(b'content-length: 8\r\n', b'')
+    serve = functools.partial(serve_once, ends=ends)
+
+    async def scenario() -> Answer | None:
+        answer = None
+        with socket.create_server((LOOPBACK, 0)) as listener:
+            pool = ConnectionPool(
+                f'{LOOPBACK}:{listener.getsockname()[1]}', read_clock
+            )
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    anyio.to_thread.run_sync, serve, listener, unsized
+                )
+                with contextlib.suppress(BackendError):
+                    answer = await pool.exchange(make_exchange(b'r0'))
+        return answer
+
+    answered = anyio.run(scenario)
+    assert (answered is None) == ends
