Treat a connection that is reset as it opens as one that failed

Callers: an unsigned 500 with no line in the log, and the other attempts of the call ended with it.

Cause: on uvloop a transport whose peer has reset it has no socket. httpcore sets the socket's options then, and raises AttributeError, which the pool did not expect. Servers reset connections beyond their maximum, so this is an ordinary event.

--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -498,7 +498,9 @@
         except httpcore.TimeoutException as error:
             self._on_new(False)
             raise ConnectTimeout('no connection in time') from error
-        except httpcore.NetworkError as error:
+        except (httpcore.NetworkError, AttributeError) as error:
+            # On uvloop no socket is left to set options of if the server has
+            # reset the connection at once.
             self._on_new(False)
             raise ConnectFailed(str(error)) from error
         origin = httpcore.Origin(b'http', self._host.encode(), self._port)
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -1,6 +1,9 @@
 """Exchanges with backend servers: connection reuse and failures."""
 
 import contextlib
+import socket
+import struct
+import threading
 import time
 from collections.abc import Awaitable, Callable
 
@@ -14,6 +17,7 @@
 from ibisplank.connection._backend import DEFAULT_IDLE_LIMIT_S
 from ibisplank.errors import (
     AttemptUnknown,
+    BackendError,
     ConnectFailed,
     RestartSuspected,
     SilentConnection,
@@ -286,3 +290,39 @@
         assert not pool._idle
 
     run_scenario([], scenario, lambda: now)
+
+
+def reset_connections(listener: socket.socket) -> None:
+    """Reset each connection as it is accepted, until the listener is closed."""
+    linger = struct.pack('ii', 1, 0)
+    with contextlib.suppress(OSError):
+        while True:
+            stream, _ = listener.accept()
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            stream.close()
+
+
+def test_connection_that_is_reset_at_once_is_a_failure_of_the_backend() -> None:
+    """On the event loop of gateways the call ended with another exception."""
+
+    async def exchange_often(pool: ConnectionPool) -> None:
+        for _ in range(100):
+            with pytest.raises(BackendError):
+                await pool.exchange(make_exchange(fresh=True))
+
+    async def scenario() -> None:
+        listener = socket.create_server((LOOPBACK, 0), backlog=128)
+        port = listener.getsockname()[1]
+        thread = threading.Thread(target=reset_connections, args=(listener,))
+        thread.start()
+        try:
+            async with anyio.create_task_group() as group:
+                pool = ConnectionPool(f'{LOOPBACK}:{port}', time.monotonic)
+                for _ in range(10):
+                    group.start_soon(exchange_often, pool)
+        finally:
+            listener.shutdown(socket.SHUT_RDWR)
+            listener.close()
+            thread.join()
+
+    anyio.run(scenario, backend_options={'use_uvloop': True})
