Let servers of the soak answer twice, and check who gave each answer

The soak had no server that sends a second answer, no caller that sends a call again under its id, and took each success whose body was that of the call for the server's own, whatever status the server had given.

- The stand-in of a backend server answers twice: at once, up to 1 s later, or as the next request on the connection arrives; with the id or without, as 200 or 500, whole or cut at a random byte.
It records its own answers.
- The soak plans this fault apart (seed + 3), so older seeds keep their faults.
- Callers send half of the failed idempotent calls again with the same id to the same gateway.
Each answer is checked.
- A success, and any signed failure, must have the status and body of an answer that a server gave to this call, else `no own answer`.
The older checks are unchanged.

--- a/harness/callers.py
+++ b/harness/callers.py
@@ -18,6 +18,9 @@
 #: one.
 LARGE_BODY_INTERVAL = 8
 LARGE_REPEATS = 60000
+#: Share of failed idempotent calls that are sent again with the same id.
+RESEND_SHARE = 0.5
+FIRST_FAILURE = 500
 
 
 @dataclass
@@ -46,7 +49,8 @@
         """Send calls over persistent connections while `active` is set."""
         async with httpcore.AsyncConnectionPool() as pool:
             while self.active:
-                await self.send_call(pool, self.rng.choice(self.gateways))
+                gateway = self.rng.choice(self.gateways)
+                await self._send_repeatedly(pool, gateway)
                 await anyio.sleep(self.rng.uniform(0, 0.05))
 
     async def send_call(
@@ -55,6 +59,30 @@
         gateway: GatewayProcess,
     ) -> int:
         """Send one call; return its status, or 0 if no answer arrived."""
+        return await self._send(pool, gateway, self._make_call())
+
+    async def _send_repeatedly(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        gateway: GatewayProcess,
+    ) -> None:
+        """Send one call, and sometimes again under its id after a failure.
+
+        HTTP libraries repeat idempotent requests on a lost connection. Nothing
+        is sent again once `active` is not set.
+        """
+        request_id = self._make_call()
+        call = self.history.calls[request_id]
+        again = True
+        while again:
+            status = await self._send(pool, gateway, request_id)
+            failed = not status or status >= FIRST_FAILURE
+            repeatable = self.active and not call.at_most_once
+            draw = self.rng.random()
+            again = failed and repeatable and draw < RESEND_SHARE
+
+    def _make_call(self) -> str:
+        """Record a new call; return its request id."""
         self._call_count += 1
         request_id = f'c{self._call_count}'
         at_most_once = self.rng.random() < 0.5
@@ -63,6 +91,16 @@
             body *= LARGE_REPEATS
         path = f'/once/{request_id}' if at_most_once else f'/a/{request_id}'
         self.history.calls[request_id] = SentCall(path, at_most_once, body)
+        return request_id
+
+    async def _send(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        gateway: GatewayProcess,
+        request_id: str,
+    ) -> int:
+        """Send a call once; return its status, or 0 if no answer arrived."""
+        call = self.history.calls[request_id]
         headers = [
             (b'host', HOST.encode()),
             (HEADER_NAMES.request_id, request_id.encode()),
@@ -71,18 +109,19 @@
         try:
             with anyio.fail_after(CALLER_TIMEOUT_S):
                 answer = await pool.request(
-                    'POST' if at_most_once else 'GET',
-                    f'http://{gateway.settings.callers}{path}',
+                    'POST' if call.at_most_once else 'GET',
+                    f'http://{gateway.settings.callers}{call.path}',
                     headers=headers,
-                    content=body or None,
+                    content=call.body or None,
                 )
         except (httpcore.NetworkError, httpcore.ProtocolError, TimeoutError):
             return 0
         fields = {key.lower(): text for key, text in answer.headers}
-        self.history.answers[request_id] = ReceivedAnswer(
+        received = ReceivedAnswer(
             answer.status,
             fields.get(HEADER_NAMES.request_id.lower(), b'').decode(),
             HEADER_NAMES.signature.lower() in fields,
             answer.content,
         )
+        self.history.answers.setdefault(request_id, []).append(received)
         return answer.status
--- a/harness/callhistory.py
+++ b/harness/callhistory.py
@@ -1,9 +1,11 @@
 """Record of calls and answers, and guarantees that hold under every fault."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from ibisplank.standin import OwnAnswer
+
 #: Statuses that state that no backend server has run the call.
 NOT_RUN = frozenset((408, 421, 429, 503))
 FIRST_SUCCESS = 200
@@ -59,28 +61,37 @@
     ----------
     calls : dict of str to SentCall
         Calls that were sent.
-    answers : dict of str to ReceivedAnswer
-        Answers that were received.
+    answers : dict of str to list of ReceivedAnswer
+        Answers that were received, in order. A call that was sent again has an
+        answer for each time.
     """
 
     calls: dict[str, SentCall] = field(default_factory=dict)
-    answers: dict[str, ReceivedAnswer] = field(default_factory=dict)
+    answers: dict[str, list[ReceivedAnswer]] = field(default_factory=dict)
 
-    def find_violations(self, runs: Iterable[str]) -> list[str]:
+    def find_violations(
+        self, runs: Iterable[str], own_answers: Iterable[OwnAnswer]
+    ) -> list[str]:
         """Return a message for each violated guarantee.
 
         Backend servers run only calls that were sent (else `unasked`), and run
         a call at most once if its route requires it. A call on such a route
         has not run if the status of its answer is in `NOT_RUN`. A successful
         answer belongs to its call and is signed (else `mixed`), and the call
-        has run.
+        has run. A successful or signed answer has the status and body of one
+        that a backend server gave to this call.
 
         Parameters
         ----------
         runs : iterable of str
             Request id of each run on any backend server.
+        own_answers : iterable of OwnAnswer
+            Answers that any backend server gave.
         """
         run_counts = Counter(runs)
+        given: defaultdict[str, list[OwnAnswer]] = defaultdict(list)
+        for own in own_answers:
+            given[own.request_id].append(own)
         violations = [
             f'unasked: {request_id}'
             for request_id in run_counts
@@ -91,16 +102,36 @@
                 violations.append(
                     f'ran {run_counts[request_id]} times: {request_id}'
                 )
-            answer = self.answers.get(request_id)
-            if answer is not None:
+            for answer in self.answers.get(request_id, []):
                 violations.extend(
                     _check_answer(
                         request_id, call, answer, run_counts[request_id]
                     )
                 )
+                violations.extend(
+                    _check_source(request_id, answer, given[request_id])
+                )
         return violations
 
 
+def _is_success(answer: ReceivedAnswer) -> bool:
+    return FIRST_SUCCESS <= answer.status < FIRST_REDIRECT
+
+
+def _check_source(
+    request_id: str, answer: ReceivedAnswer, given: list[OwnAnswer]
+) -> list[str]:
+    """Return a message if no server gave this answer to the call."""
+    if not answer.signed and not _is_success(answer):
+        return []
+    if any(
+        (own.status, own.body) == (answer.status, answer.body) for own in given
+    ):
+        return []
+    statuses = sorted(own.status for own in given)
+    return [f'no own answer: {request_id}, {answer.status} for {statuses}']
+
+
 def _check_answer(
     request_id: str, call: SentCall, answer: ReceivedAnswer, runs: int
 ) -> list[str]:
@@ -108,7 +139,7 @@
     violations = []
     if call.at_most_once and answer.status in NOT_RUN and runs:
         violations.append(f'said not to have run: {request_id}')
-    if not FIRST_SUCCESS <= answer.status < FIRST_REDIRECT:
+    if not _is_success(answer):
         return violations
     expected = f'{call.path} '.encode() + call.body
     if (
--- a/harness/faultplan.py
+++ b/harness/faultplan.py
@@ -9,6 +9,7 @@
 FAULTS_PER_S = 1.2
 STATEMENTS_PER_S = 0.25
 FULL_SERVERS_PER_S = 0.25
+DOUBLE_ANSWERS_PER_S = 0.5
 SHORTEST_FAULT_S = 0.2
 LONGEST_FAULT_S = 3.0
 #: Number of values of `Fault.choice`.
@@ -30,6 +31,7 @@
     LEAVING = 'server leaves and says so in its answers only'
     QUIET = 'server asks for quiet'
     FULL = 'server is slow, and leaves or resets calls beyond its slots'
+    DOUBLE_ANSWERS = 'server answers twice'
 
 
 #: Kinds that seeds have drawn from since the first soak.
@@ -37,6 +39,7 @@
 #: Kinds that are planned apart, so that older seeds keep their faults.
 STATEMENT_KINDS = (FaultKind.LEAVING, FaultKind.QUIET)
 FULL_KINDS = (FaultKind.FULL,)
+DOUBLE_ANSWER_KINDS = (FaultKind.DOUBLE_ANSWERS,)
 
 
 @dataclass(frozen=True)
--- a/harness/soak.py
+++ b/harness/soak.py
@@ -19,7 +19,10 @@
 
 from harness.callers import CALLER_TIMEOUT_S, Callers
 from harness.callhistory import CallHistory
+from harness.doubleanswers import answer_twice
 from harness.faultplan import (
+    DOUBLE_ANSWER_KINDS,
+    DOUBLE_ANSWERS_PER_S,
     FULL_KINDS,
     FULL_SERVERS_PER_S,
     STATEMENT_KINDS,
@@ -252,6 +255,7 @@
             FaultKind.LEAVING: self._leave,
             FaultKind.QUIET: self._quiet,
             FaultKind.FULL: self._fill,
+            FaultKind.DOUBLE_ANSWERS: self._answer_twice,
         }
         await injectors[fault.kind](fault)
 
@@ -337,6 +341,13 @@
         upstream.faults = UpstreamFaults()
         upstream.queue_limit = queue_limit
 
+    async def _answer_twice(self, fault: Fault) -> None:
+        server = f's{fault.choice % SERVER_COUNT}'
+        variant = fault.choice // SERVER_COUNT
+        await answer_twice(
+            self.site.upstreams[server], variant, fault.duration_s
+        )
+
     async def _leave(self, fault: Fault) -> None:
         """Let a server leave; it starts anew under the same id afterwards."""
         number = fault.choice % SERVER_COUNT
@@ -422,7 +433,14 @@
                 FULL_KINDS,
                 FULL_SERVERS_PER_S,
             )
+            double_answers = plan_faults(
+                random.Random(seed + 3),
+                seconds,
+                DOUBLE_ANSWER_KINDS,
+                DOUBLE_ANSWERS_PER_S,
+            )
             faults = plan_faults(rng, seconds) + statements + full_servers
+            faults += double_answers
             await soak.run(sorted(faults, key=lambda each: each.start_s))
             await soak.await_recovery()
             await soak.stop()
@@ -435,11 +453,24 @@
             for upstream in site.upstreams.values()
             for request_id in upstream.ran
         ]
-        violations = soak.history.find_violations(ran) + soak.failures
+        own_answers = [
+            own
+            for upstream in site.upstreams.values()
+            for own in upstream.answered
+        ]
+        violations = soak.history.find_violations(ran, own_answers)
+        violations += soak.failures
+        answers = soak.history.answers.values()
         served = sum(
-            each.status == OK for each in soak.history.answers.values()
+            any(each.status == OK for each in received) for received in answers
         )
         click.echo(f'{served} of {len(soak.history.calls)} calls served')
+        repeated = sum(len(received) > 1 for received in answers)
+        click.echo(f'{repeated} calls answered more than once')
+        second = sum(
+            each.second_answers.count for each in site.upstreams.values()
+        )
+        click.echo(f'{second} second answers sent')
         click.echo(f'{soak.checks} statements of servers judged')
         group.cancel_scope.cancel()
     return violations
--- a/ibisplank/standin/__init__.py
+++ b/ibisplank/standin/__init__.py
@@ -5,6 +5,11 @@
     BackendFaults,
     BackendStandin,
 )
+from ibisplank.standin._doubleanswers import (
+    DoubleAnswers,
+    OwnAnswer,
+    SecondMoment,
+)
 from ibisplank.standin._platform import (
     PlatformCounters,
     PlatformFaults,
@@ -22,9 +27,12 @@
     'BackendCounters',
     'BackendFaults',
     'BackendStandin',
+    'DoubleAnswers',
+    'OwnAnswer',
     'PlatformCounters',
     'PlatformFaults',
     'PlatformStandin',
+    'SecondMoment',
     'StoreStandin',
     'StoreFault',
     'UpstreamFaults',
--- a/ibisplank/standin/_upstream.py
+++ b/ibisplank/standin/_upstream.py
@@ -17,6 +17,11 @@
     send_answer,
 )
 from ibisplank.gateway import HeaderNames, ServerEntry
+from ibisplank.standin._doubleanswers import (
+    DoubleAnswers,
+    DoubleAnswerWriter,
+    OwnAnswer,
+)
 
 OK = 200
 MISDIRECTED_REQUEST = 421
@@ -96,6 +101,8 @@
         is not enforced.
     load_text : bytes or None
         Content of the load header of all answers, whatever the load is.
+    double_answers : DoubleAnswers or None
+        Second answers that follow the answers to calls, None for no such ones.
     """
 
     work_s: float = 0.02
@@ -112,6 +119,7 @@
     retry_after: bytes | None = None
     rate_limit: float | None = None
     load_text: bytes | None = None
+    double_answers: DoubleAnswers | None = None
 
 
 def _ignore() -> None:
@@ -130,12 +138,17 @@
         Times of the event loop at which they began, in the same order.
     arrivals : list of float
         Times of the event loop at which calls arrived.
+    answered : list of OwnAnswer
+        Answers that the server gave to calls, refusals as well, without second
+        answers.
     resets : int
         Calls whose connection was reset as the queue was full.
     crash : callable
         Ends the server.
     silent : bool
         Whether it has ended without closing its connections.
+    second_answers : DoubleAnswerWriter
+        Writes its second answers.
     """
 
     entry: ServerEntry
@@ -146,11 +159,13 @@
     ran: list[str] = field(default_factory=list)
     started: list[float] = field(default_factory=list)
     arrivals: list[float] = field(default_factory=list)
+    answered: list[OwnAnswer] = field(default_factory=list)
     running: int = 0
     waiting: int = 0
     resets: int = 0
     crash: Callable[[], None] = _ignore
     silent: bool = False
+    second_answers: DoubleAnswerWriter = field(init=False)
     _slot_freed: anyio.Event = field(default_factory=anyio.Event)
 
     async def __call__(
@@ -164,23 +179,37 @@
         headers = dict(scope['headers'])
         if self.silent:
             await anyio.sleep(HANG_S)
+        self.second_answers.write_waiting(send)
         if self.header_names.request_id not in headers:
             await self._answer_health(send)
             return
         self.arrivals.append(anyio.current_time())
+        content = scope['raw_path'] + b' ' + body
         refusal = self._find_refusal(headers)
-        if refusal is not None:
-            await self._turn_away(send, refusal)
-            return
-        await self._acquire_slot()
-        try:
-            await self._run(send, headers, scope['raw_path'], body)
-        finally:
-            self.running -= 1
-            self._slot_freed.set()
-            self._slot_freed = anyio.Event()
+        if refusal is None:
+            await self._acquire_slot()
+            try:
+                await self._run(send, headers, scope['raw_path'], content)
+            finally:
+                self.running -= 1
+                self._slot_freed.set()
+                self._slot_freed = anyio.Event()
+        else:
+            await self._turn_away(send, headers, refusal)
+        faults = self.faults.double_answers
+        if faults is not None:
+            request_id = headers[self.header_names.request_id]
+            await self.second_answers.answer_again(
+                send, faults, request_id, self._sign(content)
+            )
+
+    def __post_init__(self) -> None:
+        """Create the writer, which shares the random source."""
+        self.second_answers = DoubleAnswerWriter(self.rng, self.header_names)
 
-    async def _turn_away(self, send: Send, status: int) -> None:
+    async def _turn_away(
+        self, send: Send, headers: dict[bytes, bytes], status: int
+    ) -> None:
         """Answer a call that does not run, or not."""
         if status == UNAVAILABLE and self._is_full():
             match self.faults.when_full:
@@ -191,6 +220,7 @@
                     abort_connection(send)
                     await anyio.sleep(ABORT_S)
                     return
+        self._record_answer(headers, status, b'')
         await self._refuse(send, status)
 
     def _is_full(self) -> bool:
@@ -220,7 +250,7 @@
         send: Send,
         headers: dict[bytes, bytes],
         path: bytes,
-        body: bytes,
+        content: bytes,
     ) -> None:
         request_id = headers[self.header_names.request_id]
         self.ran.append(request_id.decode())
@@ -239,21 +269,29 @@
         status = OK if work_s <= deadline_ms / MS_PER_S else GATEWAY_TIMEOUT
         if self.rng.random() < self.faults.fail_share:
             status = INTERNAL_ERROR
-        content = path + b' ' + body
-        digest = hashlib.sha256(self.entry.server.encode() + content)
-        signature = digest.hexdigest()[:SIGNATURE_CHARS].encode()
+        self._record_answer(headers, status, content)
         await send_answer(
             send,
             status,
             content,
             (
                 (self.header_names.request_id, request_id),
-                (self.header_names.signature, signature),
+                (self.header_names.signature, self._sign(content)),
                 (self.header_names.server_load, self._render_load()),
                 *self._render_statements(),
             ),
         )
 
+    def _record_answer(
+        self, headers: dict[bytes, bytes], status: int, body: bytes
+    ) -> None:
+        request_id = headers[self.header_names.request_id].decode()
+        self.answered.append(OwnAnswer(request_id, status, body))
+
+    def _sign(self, content: bytes) -> bytes:
+        digest = hashlib.sha256(self.entry.server.encode() + content)
+        return digest.hexdigest()[:SIGNATURE_CHARS].encode()
+
     def _draw_work_s(self) -> float:
         utilization = self.running / self.entry.slots
         knee_factor = KNEE_FACTOR if utilization > KNEE_UTILIZATION else 1.0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from harness.callhistory import CallHistory, ReceivedAnswer, SentCall
 from harness.faultplan import (
     COMMON_KINDS,
+    DOUBLE_ANSWER_KINDS,
     FULL_KINDS,
     STATEMENT_KINDS,
     FaultKind,
@@ -19,6 +20,7 @@
 from harness.processes import LOOPBACK
 from harness.proxy import DISCONNECT_ERRORS, LinkFault, Proxy
 from harness.soak import run_soak
+from ibisplank.standin import OwnAnswer
 from tests.serving import serving_stream
 
 READ = SentCall('/a/x', at_most_once=False)
@@ -27,6 +29,13 @@
 #: 35): SIGHUP during the start of the program ended the process. Seed 5 (also
 #: 14): the exit code after SIGTERM during the start was reported as wrong.
 REGRESSION_SEEDS = (4, 5)
+#: The first faults of this plan, with the number that selects their targets.
+PLAN_OF_SEED_4 = [
+    (FaultKind.KILL, 62767),
+    (FaultKind.KILL, 37929),
+    (FaultKind.PAUSE, 47218),
+    (FaultKind.STOP, 34304),
+]
 CI_SEED = 4711
 CI_SECONDS = 6.0
 REGRESSION_SECONDS = 12.0
@@ -35,10 +44,21 @@
 def check(
     call: SentCall, answer: ReceivedAnswer | None, runs: int
 ) -> list[str]:
-    history = CallHistory({'x': call})
-    if answer is not None:
-        history.answers['x'] = answer
-    return history.find_violations(['x'] * runs)
+    """Check an answer that a server gave as it was received."""
+    if answer is None:
+        return check_source(call, [], [], runs)
+    own = OwnAnswer('x', answer.status, answer.body)
+    return check_source(call, [answer], [own], runs)
+
+
+def check_source(
+    call: SentCall,
+    received: list[ReceivedAnswer],
+    given: list[OwnAnswer],
+    runs: int = 1,
+) -> list[str]:
+    history = CallHistory({'x': call}, {'x': received})
+    return history.find_violations(['x'] * runs, given)
 
 
 @pytest.mark.parametrize(
@@ -62,7 +82,7 @@
 
 
 def test_a_run_without_a_call_is_reported() -> None:
-    assert CallHistory().find_violations(['z']) == ['unasked: z']
+    assert CallHistory().find_violations(['z'], []) == ['unasked: z']
 
 
 @pytest.mark.parametrize(
@@ -84,6 +104,69 @@
     assert check(call, answer, runs) == []
 
 
+def make_answer(status: int, signed: bool = True) -> ReceivedAnswer:
+    return ReceivedAnswer(status, 'x', signed, b'/a/x ')
+
+
+@pytest.mark.parametrize(
+    ('status', 'given'),
+    [
+        (200, []),
+        (200, [OwnAnswer('x', 500, b'/a/x ')]),
+        (200, [OwnAnswer('x', 201, b'/a/x ')]),
+        (200, [OwnAnswer('x', 200, b'/a/')]),
+        (200, [OwnAnswer('y', 200, b'/a/x ')]),
+        (500, [OwnAnswer('x', 200, b'/a/x ')]),
+        (500, [OwnAnswer('x', 500, b'ok')]),
+    ],
+)
+def test_answer_that_no_server_gave_to_the_call_is_reported(
+    status: int, given: list[OwnAnswer]
+) -> None:
+    violations = check_source(READ, [make_answer(status)], given)
+    assert len(violations) == 1
+    assert violations[0].startswith('no own answer: x')
+
+
+@pytest.mark.parametrize(
+    ('answer', 'given'),
+    [
+        (make_answer(200), [500, 200]),
+        (make_answer(500), [200, 500]),
+        (make_answer(502, signed=False), []),
+        (make_answer(500, signed=False), [200]),
+    ],
+)
+def test_answers_of_servers_and_refusals_are_not_reported(
+    answer: ReceivedAnswer, given: list[int]
+) -> None:
+    own_answers = [OwnAnswer('x', each, b'/a/x ') for each in given]
+    assert check_source(READ, [answer], own_answers) == []
+
+
+@pytest.mark.parametrize('first', [True, False])
+def test_each_answer_to_a_call_sent_again_is_checked(first: bool) -> None:
+    received = [make_answer(500), make_answer(200)]
+    if first:
+        received.reverse()
+    given = [OwnAnswer('x', 500, b'/a/x ')]
+    assert len(check_source(READ, received, given)) == 1
+
+
+def test_second_answer_in_place_of_the_own_one_is_reported() -> None:
+    second = ReceivedAnswer(200, 'x', signed=True, body=b'ok')
+    given = [OwnAnswer('x', 200, b'/a/x ')]
+    assert 'mixed: x' in check_source(READ, [second], given)
+
+
+def test_kinds_that_are_planned_apart_leave_older_plans_as_they_were() -> None:
+    groups = (COMMON_KINDS, STATEMENT_KINDS, FULL_KINDS, DOUBLE_ANSWER_KINDS)
+    kinds = [kind for group in groups for kind in group]
+    assert kinds == list(FaultKind)
+    plan = plan_faults(random.Random(4), 2.0)
+    assert [(each.kind, each.choice) for each in plan] == PLAN_OF_SEED_4
+
+
 def test_a_plan_has_faults_of_all_kinds_that_overlap() -> None:
     plan = plan_faults(random.Random(1), 100.0)
     assert plan == plan_faults(random.Random(1), 100.0)
@@ -91,7 +174,9 @@
     kinds = {fault.kind for fault in plan}
     assert kinds == set(COMMON_KINDS)
     full_servers = plan_faults(random.Random(1), 100.0, FULL_KINDS)
-    kinds |= {fault.kind for fault in statements + full_servers}
+    double_answers = plan_faults(random.Random(1), 100.0, DOUBLE_ANSWER_KINDS)
+    planned_apart = statements + full_servers + double_answers
+    kinds |= {fault.kind for fault in planned_apart}
     assert kinds == set(FaultKind)
     pairs = zip(plan, plan[1:], strict=False)
     assert any(one.start_s + one.duration_s > two.start_s for one, two in pairs)
