--- a/ibisplank/connection/_asgi.py
+++ b/ibisplank/connection/_asgi.py
@@ -118,11 +118,16 @@
     raise ConnectionResetError
 
 
-def abort_connection(send: Send) -> None:
-    """Reset the connection of a request without an answer.
+def find_transport(send: Send) -> Any:
+    """Return the transport of the connection of a request.
 
-    ASGI offers no way to do this, so the transport is taken from the object of
-    `uvicorn` that `send` belongs to.
+    ASGI offers no way to do this, so it is taken from the object of `uvicorn`
+    that `send` belongs to.
     """
     cycle: Any = getattr(send, '__self__')  # noqa: B009
-    cycle.transport.abort()
+    return cycle.transport
+
+
+def abort_connection(send: Send) -> None:
+    """Reset the connection of a request without an answer."""
+    find_transport(send).abort()
--- a/ibisplank/standin/_doubleanswers.py
+++ b/ibisplank/standin/_doubleanswers.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from ibisplank.connection import Send
+from ibisplank.connection import Send, find_transport
 from ibisplank.gateway import HeaderNames
 
 OK = 200
@@ -88,16 +88,6 @@
     body: bytes
 
 
-def _find_transport(send: Send) -> Any:
-    """Return the transport of the connection of a request.
-
-    ASGI offers no way to do this, so it is taken from the object of `uvicorn`
-    that `send` belongs to.
-    """
-    cycle: Any = getattr(send, '__self__')  # noqa: B009
-    return cycle.transport
-
-
 @dataclass(slots=True)
 class DoubleAnswerWriter:
     """Writes second answers to the connections of one backend server.
@@ -121,7 +111,7 @@
 
     def write_waiting(self, send: Send) -> None:
         """Write what waits for the next request on a connection."""
-        transport = _find_transport(send)
+        transport = find_transport(send)
         second = self._waiting.pop(transport, None)
         if second is not None:
             self._write(transport, second)
@@ -136,7 +126,7 @@
         """Send, or keep for the next request, a second answer to a request."""
         if self.rng.random() >= faults.share:
             return
-        transport = _find_transport(send)
+        transport = find_transport(send)
         second = self._render(faults, request_id, signature)
         if faults.cut:
             second = second[: self.rng.randrange(1, len(second))]
