Keep the head of an answer only until it has been checked

An idle connection kept the bytes in which the head of its last answer had come, up to 128 KiB. A connection that was reset as it opened was named in the log by an error of the library. No test fails without this; the behaviour is the same.

--- a/ibisplank/connection/_backend.py
+++ b/ibisplank/connection/_backend.py
@@ -203,9 +203,8 @@
             raise SilentConnection('no first byte in time') from error
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             raise self._explain_failure(error) from error
-        self._stream.end_head()
         unparsed = len(self._parser.trailing_data[0])
-        check_head(bytes(self._stream.head[: -unparsed or None]))
+        check_head(self._stream.end_head()[: -unparsed or None])
         self._stream.allow(exchange.most_bytes)
         answer = await self._read_answer(exchange, response)
         if answer.status > MAX_STATUS:
@@ -498,11 +497,13 @@
         except httpcore.TimeoutException as error:
             self._on_new(False)
             raise ConnectTimeout('no connection in time') from error
-        except (httpcore.NetworkError, AttributeError) as error:
-            # On uvloop no socket is left to set options of if the server has
-            # reset the connection at once.
+        except httpcore.NetworkError as error:
             self._on_new(False)
             raise ConnectFailed(str(error)) from error
+        except AttributeError as error:
+            # On uvloop no socket is left to set options of.
+            self._on_new(False)
+            raise ConnectFailed('reset as it was opened') from error
         origin = httpcore.Origin(b'http', self._host.encode(), self._port)
         bounded = BoundedStream(stream, self._memory)
         raw = httpcore.AsyncHTTP11Connection(origin, bounded)
--- a/ibisplank/connection/_stream.py
+++ b/ibisplank/connection/_stream.py
@@ -29,8 +29,6 @@
     ----------
     exceeded : bool
         Whether an answer was longer than allowed.
-    head : bytearray
-        Bytes of the current answer that were read until `end_head`.
     rest : bytes
         Bytes that were received and not read so far.
     """
@@ -39,9 +37,8 @@
         self, stream: httpcore.AsyncNetworkStream, memory: AnswerMemory
     ) -> None:
         self.exceeded = False
-        self.head = bytearray()
         self.rest = b''
-        self._in_head = True
+        self._head: bytearray | None = None
         self._stream = stream
         self._memory = memory
         self._answer = HeldAnswer('')
@@ -55,12 +52,13 @@
     def begin(self, answer: HeldAnswer) -> None:
         """Account for what is read from now on as a new answer."""
         self._answer = answer
-        self.head.clear()
-        self._in_head = True
+        self._head = bytearray()
 
-    def end_head(self) -> None:
-        """Keep no further bytes as those of a head."""
-        self._in_head = False
+    def end_head(self) -> bytes:
+        """Return what was read of the current answer; keep no more of it."""
+        head = self._head or b''
+        self._head = None
+        return bytes(head)
 
     def allow(self, most_bytes: int) -> None:
         """Set how many more bytes may be read."""
@@ -85,8 +83,8 @@
         received = self.rest[:most]
         self.rest = self.rest[most:]
         self._left -= len(received)
-        if self._in_head:
-            self.head += received
+        if self._head is not None:
+            self._head += received
         return received
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
