--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -22,7 +22,6 @@
 TIMEOUT_S = 0.5
 REQUEST_ID = HEADER_NAMES.request_id
 SIGNATURE = HEADER_NAMES.signature
-#: The first line of a head and its headers, in the order of this list.
 SUCCESS = b'200 OK'
 FAILURE = b'500 Internal Server Error'
 
@@ -31,13 +30,9 @@
 Script = Callable[[list[bytes], bytes], bytes]
 
 
-def render(
-    status: bytes, named: bytes, body: bytes, sign: bool = True
-) -> bytes:
-    """Return an answer that names a request, or none."""
-    lines = [b'HTTP/1.1 ' + status]
-    if sign:
-        lines.append(SIGNATURE + b': 18.d0.2')
+def render(status: bytes, named: bytes, body: bytes) -> bytes:
+    """Return a signed answer that names a request, or none."""
+    lines = [b'HTTP/1.1 ' + status, SIGNATURE + b': 18.d0.2']
     if named:
         lines.append(REQUEST_ID + b': ' + named)
     lines.append(b'content-length: %d' % len(body))
